--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 DEPLOYMENT ?= tanagumi
 BUILD ?= build
 PACKAGES = build-essential clang-format clang-tidy cmake ninja-build pkg-config python3 \
-  catch2 libboost-dev libcli11-dev libevent-dev libevhtp-dev libjsonrpccpp-dev liblog4cplus-dev \
+  catch2 libboost-dev libcli11-dev libevent-dev libevhtp-dev libhttp-parser-dev libjsonrpccpp-dev liblog4cplus-dev \
   libmsgpack-cxx-dev librapidcheck-dev libssl-dev libyaml-cpp-dev nlohmann-json3-dev \
   prometheus-cpp-dev
 SOURCES = $(shell git ls-files 'Source/*.cc' 'Source/*.h')
--- a/Source/Core/Common/log.cc
+++ b/Source/Core/Common/log.cc
@@ -4,10 +4,16 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/spi/loggingevent.h>
+#include <poll.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <climits>
 #include <memory>
 #include <ostream>
+#include <sstream>
+#include <utility>
 
 #include "Core/Common/text.h"
 
@@ -67,6 +73,55 @@
   }
 };
 
+// Buffers lines for FlushLogs. Lines beyond the bounds are dropped and counted.
+class BufferAppender : public log4cplus::Appender {
+ public:
+  ~BufferAppender() override { destructorImpl(); }
+  void close() override { closed = true; }
+
+  void Flush() {
+    if (dropped_ > 0) {
+      pending_ += "event=log_lines_dropped count=" + std::to_string(dropped_) +
+                  "\n";
+      dropped_ = 0;
+    }
+    lines_ = 0;
+    size_t done = 0;
+    while (done < pending_.size()) {
+      pollfd out{STDOUT_FILENO, POLLOUT, 0};
+      if (poll(&out, 1, 0) != 1 || (out.revents & POLLOUT) == 0) break;
+      // A pipe that polls as writable takes this much without blocking.
+      size_t size = std::min<size_t>(pending_.size() - done, PIPE_BUF);
+      ssize_t n = write(STDOUT_FILENO, pending_.data() + done, size);
+      if (n <= 0) break;
+      done += static_cast<size_t>(n);
+    }
+    pending_.erase(0, done);
+  }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    if (pending_.size() >= kMaxBytes || lines_ >= kMaxLines) {
+      ++dropped_;
+      return;
+    }
+    ++lines_;
+    std::ostringstream line;
+    layout->formatAndAppend(line, event);
+    pending_ += line.str();
+  }
+
+ private:
+  static constexpr size_t kMaxBytes = 512 << 10;
+  // Between two flushes; about twenty times a busy router's usual rate.
+  static constexpr size_t kMaxLines = 500;
+  std::string pending_;
+  size_t lines_ = 0;
+  uint64_t dropped_ = 0;
+};
+
+BufferAppender* buffer_appender = nullptr;
+
 Result<log4cplus::LogLevel> ParseLevel(std::string_view name) {
   struct Entry {
     std::string_view name;
@@ -109,6 +164,23 @@
   return Loggers()[static_cast<size_t>(type)];
 }
 
+namespace {
+
+Result<void> UseAppender(log4cplus::SharedAppenderPtr appender,
+                         std::string_view levels) {
+  log4cplus::Logger::getRoot().removeAllAppenders();
+  log4cplus::Logger::getRoot().addAppender(appender);
+  log4cplus::Logger::getRoot().setLogLevel(log4cplus::INFO_LOG_LEVEL);
+  for (const std::string& it : Split(levels, ',')) {
+    BOOST_OUTCOME_TRY(ApplyLevel(it));
+  }
+  return outcome::success();
+}
+
+constexpr char kPlainPattern[] = "%D{%H:%M:%S.%q} %-5p %c: %m%n";
+
+}  // namespace
+
 Result<void> InitializeLogging(std::string_view levels, LogFormat format) {
   Library();
   log4cplus::SharedAppenderPtr appender(
@@ -116,16 +188,23 @@
   if (format == LogFormat::kJson) {
     appender->setLayout(std::make_unique<JsonLayout>());
   } else {
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
-        "%D{%H:%M:%S.%q} %-5p %c: %m%n"));
+    appender->setLayout(
+        std::make_unique<log4cplus::PatternLayout>(kPlainPattern));
   }
-  log4cplus::Logger::getRoot().removeAllAppenders();
-  log4cplus::Logger::getRoot().addAppender(appender);
-  log4cplus::Logger::getRoot().setLogLevel(log4cplus::INFO_LOG_LEVEL);
-  for (const std::string& it : Split(levels, ',')) {
-    BOOST_OUTCOME_TRY(ApplyLevel(it));
-  }
-  return outcome::success();
+  return UseAppender(std::move(appender), levels);
+}
+
+Result<void> InitializeEventLogging(std::string_view levels) {
+  Library();
+  buffer_appender = new BufferAppender();
+  log4cplus::SharedAppenderPtr appender(buffer_appender);
+  appender->setLayout(
+      std::make_unique<log4cplus::PatternLayout>(kPlainPattern));
+  return UseAppender(std::move(appender), levels);
+}
+
+void FlushLogs() {
+  if (buffer_appender != nullptr) buffer_appender->Flush();
 }
 
 }  // namespace primrosecove
--- a/Source/Core/Common/log.h
+++ b/Source/Core/Common/log.h
@@ -40,6 +40,15 @@
 /// on an unknown part or level. Call it once, before other threads start.
 Result<void> InitializeLogging(std::string_view levels, LogFormat format);
 
+/// Sets up logging of event lines to standard output, for a daemon that must
+/// never wait for whoever reads them: lines are kept in a bounded buffer until
+/// FlushLogs, and dropped and counted beyond it. Fails like InitializeLogging.
+Result<void> InitializeEventLogging(std::string_view levels);
+
+/// Writes buffered event lines as far as standard output takes them at once.
+/// Call it on the loop's thread, a few times a second and before the end.
+void FlushLogs();
+
 }  // namespace primrosecove
 
 #define PC_DEBUG(type, message)                                            \
--- a/Source/Core/Control/metrics.cc
+++ b/Source/Core/Control/metrics.cc
@@ -31,6 +31,16 @@
   gauges_.push_back({&family.Add(labels), std::move(read)});
 }
 
+prometheus::Histogram* Metrics::AddHistogram(const std::string& name,
+                                             const std::string& help) {
+  // From a plain answer's usual time to the longest deadline, about doubling.
+  const prometheus::Histogram::BucketBoundaries bounds = {
+      0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 3, 6};
+  auto& family =
+      prometheus::BuildHistogram().Name(name).Help(help).Register(registry_);
+  return &family.Add({}, bounds);
+}
+
 std::string Metrics::Render() {
   for (const CounterEntry& it : counters_) {
     double grown = it.read() - it.counter->Value();
--- a/Source/Core/Control/metrics.h
+++ b/Source/Core/Control/metrics.h
@@ -1,6 +1,7 @@
 // A process's metrics page.
 #pragma once
 
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <functional>
@@ -24,6 +25,10 @@
   /// Adds a gauge that `read` returns.
   void AddGauge(const std::string& name, const std::string& help,
                 const Labels& labels, Reader read);
+  /// Adds a histogram of seconds; the caller observes values in it. It lives
+  /// as long as this object.
+  prometheus::Histogram* AddHistogram(const std::string& name,
+                                      const std::string& help);
   /// The page in the Prometheus text format.
   std::string Render();
 
--- /dev/null
+++ b/Source/Core/Fleet/deployment_follower.h
@@ -0,0 +1,58 @@
+// Keeps a process's knowledge of its deployment up to date.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "Core/Fleet/deployment_source.h"
+#include "Core/Fleet/freshness.h"
+#include "Core/Net/event_loop.h"
+
+namespace primrosecove {
+
+/// Reads the whole deployment, then watches it; reads it anew when the store
+/// no longer has the changes in between. Use it on its loop's thread only.
+class DeploymentFollower {
+ public:
+  struct Events {
+    std::function<void(const DeploymentChange&)> on_change;
+    /// All that changed at once has been reported; the deployment was as
+    /// reported when the question was sent.
+    std::function<void(BootTime asked_at, uint64_t revision)> on_current;
+    /// The store can't be reached, or can again.
+    std::function<void(bool reachable)> on_reachable;
+  };
+
+  /// Precondition: `loop` and `source` outlive this object.
+  DeploymentFollower(EventLoop* loop, DeploymentSource* source, Events events);
+  void Start() { ReadPage(""); }
+  bool reachable() const { return reachable_; }
+  uint64_t revision() const { return revision_; }
+
+ private:
+  void ReadPage(const std::string& page);
+  void TakePage(SourceAnswer answer);
+  void EndSnapshot();
+  void Watch();
+  void TakeChanges(SourceAnswer answer);
+  void Report(const DeploymentChange& change);
+  void Retry(const std::string& why, std::function<void()> again);
+  void NoteReachable();
+
+  EventLoop* loop_;
+  DeploymentSource* source_;
+  Events events_;
+  uint64_t revision_ = 0;
+  BootTime asked_at_{0};       // of the call under way
+  BootTime snapshot_at_{0};    // of the first page
+  SteadyTime call_begun_;
+  std::set<std::string> upstreams_;       // known ids
+  std::set<std::string> page_upstreams_;  // ids of the snapshot under way
+  bool reachable_ = true;
+  int failures_ = 0;
+  Timer timer_;
+};
+
+}  // namespace primrosecove
--- /dev/null
+++ b/Source/Core/Fleet/fleet_messages.h
@@ -0,0 +1,64 @@
+// Datagrams between routers and the agents beside engines. A lost one is made
+// up for by the next.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "Core/Common/error.h"
+#include "Core/Net/endpoint.h"
+
+namespace primrosecove {
+
+/// An upstream with an agent beside it, as the routers see it.
+struct FleetMember {
+  std::string id;
+  Endpoint upstream;  ///< Its agent listens on the same IP number.
+  std::string zone;
+  uint64_t whole_version = 0;  ///< Weights that it serves whole; 0 for none.
+  bool leaving = false;
+};
+
+/// From a router to each agent: what the store says, so that agents need not
+/// ask it.
+struct FleetNotice {
+  uint64_t store_revision = 0;  ///< Orders notices of several routers.
+  std::string service;
+  std::string model;
+  uint64_t named_version = 0;  ///< The weights to serve.
+  uint64_t named_age_ms = 0;   ///< Since the router learnt of that name.
+  uint32_t version_bound_ms = 0;
+  uint32_t warm_up_ms = 0;
+  uint32_t chunks = 0;
+  uint32_t chunk_bytes = 0;
+  Endpoint origin;
+  std::vector<FleetMember> members;
+};
+
+/// From an agent to each router that it hears: its engine's state, fresher
+/// than what the engine tells others.
+struct UpstreamStatus {
+  Endpoint upstream;
+  uint64_t sequence = 0;  ///< Grows with each status of one agent's life.
+  bool reachable = false;
+  bool loading = false;
+  uint64_t whole_version = 0;
+  uint64_t staged_version = 0;  ///< Verified copy at the engine.
+  uint32_t running = 0;
+  uint32_t waiting = 0;
+  uint32_t pace_percent = 100;
+  int64_t born_ms = 0;
+  uint32_t routers_heard = 0;
+};
+
+using FleetMessage = std::variant<FleetNotice, UpstreamStatus>;
+
+/// Thread safe.
+std::string EncodeMessage(const FleetMessage& message);
+/// Fails with kInvalidArgument on anything but a whole message. Thread safe.
+Result<FleetMessage> DecodeMessage(std::string_view datagram);
+
+}  // namespace primrosecove
--- /dev/null
+++ b/Source/Core/Fleet/retry_allowance.cc
@@ -0,0 +1,51 @@
+#include "Core/Fleet/retry_allowance.h"
+
+#include <algorithm>
+
+namespace primrosecove {
+namespace {
+
+// The share of the fleet's bound that is used; the rest covers requests that
+// the upstreams count in another window than this host.
+constexpr double kUsedShare = 0.7;
+// Assumed until the number of routers is known; a smaller share of the slack
+// is safe.
+constexpr int kAssumedRouters = 8;
+
+}  // namespace
+
+RetryAllowance::RetryAllowance(const FleetBounds& bounds)
+    : bounds_(bounds), routers_(kAssumedRouters) {}
+
+RetryAllowance::Bucket& RetryAllowance::Current(Milliseconds now) {
+  int64_t width = std::max<int64_t>(bounds_.retry_window.count() /
+                                        (kBuckets - 1), 1);
+  int64_t number = now.count() / width;
+  Bucket& out = buckets_[static_cast<size_t>(number % kBuckets)];
+  if (out.number != number) out = Bucket{number, 0, 0};
+  return out;
+}
+
+void RetryAllowance::OnRequest(Milliseconds now) { ++Current(now).requests; }
+
+double RetryAllowance::Left(Milliseconds now) {
+  int64_t newest = Current(now).number;
+  int64_t requests = 0;
+  int64_t repeats = 0;
+  for (const Bucket& it : buckets_) {
+    if (it.number <= newest - kBuckets || it.number < 0) continue;
+    requests += it.requests;
+    repeats += it.repeats;
+  }
+  double share = bounds_.retry_ratio * static_cast<double>(requests) +
+                 bounds_.retry_slack / routers_;
+  return kUsedShare * share - static_cast<double>(repeats);
+}
+
+bool RetryAllowance::TryRepeat(Milliseconds now) {
+  if (Left(now) < 1) return false;
+  ++Current(now).repeats;
+  return true;
+}
+
+}  // namespace primrosecove
--- /dev/null
+++ b/Source/Core/Fleet/route_table.cc
@@ -0,0 +1,57 @@
+#include "Core/Fleet/route_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Core/Common/text.h"
+
+namespace primrosecove {
+
+RouteTable::RouteTable(FleetConfig config) : config_(std::move(config)) {
+  for (const Route& route : config_.routes) {
+    by_host_[ToLower(route.host)].push_back(&route);
+  }
+  for (auto& [host, routes] : by_host_) {
+    std::stable_sort(routes.begin(), routes.end(),
+                     [](const Route* a, const Route* b) {
+                       return a->prefix.size() > b->prefix.size();
+                     });
+  }
+  for (const FleetWorkspace& workspace : config_.workspaces) {
+    for (const std::string& key : workspace.keys) by_key_[key] = &workspace;
+  }
+}
+
+const Route* RouteTable::Match(std::string_view host,
+                               std::string_view path) const {
+  auto it = by_host_.find(ToLower(host.substr(0, host.find(':'))));
+  if (it == by_host_.end()) return nullptr;
+  for (const Route* route : it->second) {
+    if (path.starts_with(route->prefix)) return route;
+  }
+  return nullptr;
+}
+
+const FleetWorkspace* RouteTable::FindKey(std::string_view key) const {
+  auto it = by_key_.find(std::string(key));
+  return it == by_key_.end() ? nullptr : it->second;
+}
+
+const std::string& RouteTable::ChooseService(const Route& route,
+                                             double draw) const {
+  double total = 0;
+  for (const ServiceShare& it : route.services) total += it.weight;
+  double rest = draw * total;
+  for (const ServiceShare& it : route.services) {
+    if (rest < it.weight) return it.service;
+    rest -= it.weight;
+  }
+  return route.services.back().service;
+}
+
+const FleetService* RouteTable::FindService(const std::string& name) const {
+  auto it = config_.services.find(name);
+  return it == config_.services.end() ? nullptr : &it->second;
+}
+
+}  // namespace primrosecove
--- /dev/null
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -0,0 +1,182 @@
+#include "Core/Fleet/upstream_registry.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Core/Common/log.h"
+
+namespace primrosecove {
+namespace {
+
+// Beyond this age a reported load is no longer trusted to hold other routers'
+// requests; their answers take a few seconds at most.
+constexpr Milliseconds kReportLifetime{3000};
+// Failures in a row after which an upstream gets no work for a while, except
+// as a probe. One failure may be the request's own.
+constexpr int kFailuresToEject = 3;
+constexpr Milliseconds kEjectFor{1500};
+
+const LoadedWeights* WholeWeights(const UpstreamRecord& record,
+                                  const std::string& model) {
+  for (const LoadedWeights& it : record.weights) {
+    if (it.model == model && it.whole) return &it;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+int FleetUpstream::ExpectedLoad(Moment now) const {
+  if (now - reported_at > kReportLifetime) return own_in_flight;
+  int others = std::max(reported_load - own_at_report, 0);
+  return others + own_in_flight;
+}
+
+void UpstreamRegistry::Apply(const UpstreamChange& change, bool settled,
+                             Moment now) {
+  auto it = upstreams_.find(change.id);
+  if (change.record) {
+    FleetUpstream& upstream = upstreams_[change.id];
+    bool restarted = it != upstreams_.end() &&
+                     upstream.record.born_ms != change.record->born_ms;
+    bool news = it == upstreams_.end() || restarted ||
+                upstream.record.leaving != change.record->leaving ||
+                upstream.record.weights != change.record->weights ||
+                upstream.lapsed_at.has_value();
+    if (restarted) upstream.status.reset();
+    upstream.record = *change.record;
+    upstream.lapsed_at.reset();
+    if (!news) return;
+    uint64_t version =
+        upstream.record.weights.empty() ? 0 : upstream.record.weights[0].version;
+    PC_INFO(kMembership, "event=upstream_registered id="
+                             << change.id << " service="
+                             << change.record->service << " at="
+                             << change.record->endpoint.ToString()
+                             << " zone=" << change.record->zone
+                             << " leaving=" << change.record->leaving
+                             << " restarted=" << restarted
+                             << " weights=" << version);
+    return;
+  }
+  if (it == upstreams_.end()) return;
+  PC_INFO(kMembership, "event=upstream_unregistered id="
+                           << change.id << " settled=" << settled << " why=\""
+                           << change.why_unusable << "\"");
+  if (settled || it->second.record.leaving) {
+    upstreams_.erase(it);
+  } else if (!it->second.lapsed_at) {
+    it->second.lapsed_at = now;
+  }
+}
+
+void UpstreamRegistry::TakeStatus(const UpstreamStatus& status, Moment now) {
+  for (auto& [id, upstream] : upstreams_) {
+    if (upstream.record.endpoint != status.upstream) continue;
+    if (upstream.status && upstream.status->sequence >= status.sequence &&
+        now - upstream.status_at < kStatusLifetime) {
+      continue;
+    }
+    if (upstream.status && (upstream.status->reachable != status.reachable ||
+                            upstream.status->whole_version !=
+                                status.whole_version)) {
+      PC_INFO(kMembership, "event=upstream_status id="
+                               << id << " reachable=" << status.reachable
+                               << " weights=" << status.whole_version
+                               << " staged=" << status.staged_version);
+    }
+    upstream.status = status;
+    upstream.status_at = now;
+    upstream.reported_load = static_cast<int>(status.running + status.waiting);
+    upstream.own_at_report = upstream.own_in_flight;
+    upstream.reported_at = now;
+  }
+}
+
+void UpstreamRegistry::TakeAnsweredLoad(const std::string& id,
+                                        const AnsweredLoad& load, Moment now) {
+  FleetUpstream* upstream = Find(id);
+  if (upstream == nullptr) return;
+  // An agent's status comes more often and is not held back by its engine.
+  if (upstream->status && now - upstream->status_at < kStatusLifetime) return;
+  upstream->reported_load = load.running + load.waiting;
+  upstream->own_at_report = upstream->own_in_flight;
+  upstream->reported_at = now;
+}
+
+void UpstreamRegistry::OnSent(const std::string& id, Moment now) {
+  FleetUpstream* upstream = Find(id);
+  if (upstream == nullptr) return;
+  if (upstream->own_in_flight++ == 0) upstream->last_progress = now;
+}
+
+void UpstreamRegistry::OnProgress(const std::string& id, Moment now) {
+  if (FleetUpstream* upstream = Find(id)) upstream->last_progress = now;
+}
+
+void UpstreamRegistry::OnEnded(const std::string& id, bool ok, Moment now) {
+  FleetUpstream* upstream = Find(id);
+  if (upstream == nullptr) return;
+  upstream->own_in_flight = std::max(upstream->own_in_flight - 1, 0);
+  if (ok) {
+    upstream->failures_in_row = 0;
+    upstream->last_success = now;
+    return;
+  }
+  if (++upstream->failures_in_row < kFailuresToEject) return;
+  upstream->ejected_until = now + kEjectFor;
+  PC_WARN(kMembership, "event=upstream_ejected id="
+                           << id << " failures=" << upstream->failures_in_row);
+}
+
+void UpstreamRegistry::OnRefused(const std::string& id, Moment now) {
+  FleetUpstream* upstream = Find(id);
+  if (upstream == nullptr) return;
+  upstream->own_in_flight = std::max(upstream->own_in_flight - 1, 0);
+  // It is full, whatever was believed.
+  upstream->reported_load =
+      std::max(upstream->reported_load, upstream->record.slots);
+  upstream->own_at_report = upstream->own_in_flight;
+  upstream->reported_at = now;
+}
+
+void UpstreamRegistry::Expire(Moment now) {
+  std::erase_if(upstreams_, [now](const auto& it) {
+    bool over = it.second.lapsed_at && now - *it.second.lapsed_at > kLapseGrace;
+    if (over) {
+      PC_INFO(kMembership, "event=upstream_expired id=" << it.first);
+    }
+    return over;
+  });
+}
+
+std::vector<FleetUpstream*> UpstreamRegistry::Usable(const std::string& service,
+                                                Moment now) {
+  std::vector<FleetUpstream*> out;
+  std::vector<FleetUpstream*> ejected;
+  for (auto& [id, upstream] : upstreams_) {
+    if (upstream.record.service != service || upstream.record.leaving) continue;
+    bool heard =
+        upstream.status && now - upstream.status_at < kStatusLifetime;
+    if (heard && !upstream.status->reachable) continue;
+    (now < upstream.ejected_until ? ejected : out).push_back(&upstream);
+  }
+  // Where all fail, the failures say more about the requests than about them.
+  return out.empty() ? ejected : out;
+}
+
+FleetUpstream* UpstreamRegistry::Find(const std::string& id) {
+  auto it = upstreams_.find(id);
+  return it == upstreams_.end() ? nullptr : &it->second;
+}
+
+uint64_t UpstreamRegistry::ServedVersion(const FleetUpstream& upstream,
+                                         const std::string& model, Moment now) {
+  if (upstream.status && now - upstream.status_at < kStatusLifetime) {
+    return upstream.status->whole_version;
+  }
+  const LoadedWeights* weights = WholeWeights(upstream.record, model);
+  return weights == nullptr ? 0 : weights->version;
+}
+
+}  // namespace primrosecove
--- /dev/null
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -0,0 +1,84 @@
+// What a router believes of each upstream: its registration in the store, the
+// status that the agent beside it sends, and how its answers went.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Core/Fleet/deployment.h"
+#include "Core/Fleet/fleet_messages.h"
+#include "Core/Fleet/request_fields.h"
+
+namespace primrosecove {
+
+/// Time since the process's start, as handed in by callers.
+using Moment = Milliseconds;
+
+/// One upstream as a router sees it.
+struct FleetUpstream {
+  UpstreamRecord record;
+  /// The last usable registration ended while the store was away or at this
+  /// time; work stops when the grace for lapsed registrations is over.
+  std::optional<Moment> lapsed_at;
+  /// From the agent beside it, if that is heard.
+  std::optional<UpstreamStatus> status;
+  Moment status_at{0};
+  int own_in_flight = 0;
+  /// Own requests at the time of the last report of its load.
+  int own_at_report = 0;
+  int reported_load = 0;  ///< Running and waiting, of all routers.
+  Moment reported_at{-1'000'000};
+  // Failures since the last success, and until when it gets no work for them.
+  int failures_in_row = 0;
+  Moment ejected_until{-1'000'000};
+  Moment last_success{-1'000'000};
+  /// When it last sent anything to this router, or got its first request.
+  Moment last_progress{-1'000'000};
+
+  /// Requests at it, as far as known: the last report, corrected by what this
+  /// router has sent and seen end since.
+  int ExpectedLoad(Moment now) const;
+};
+
+/// Holds the upstreams of all services. Not thread safe; time is handed in.
+class UpstreamRegistry {
+ public:
+  /// How long a registration that lapsed while the store was away may take to
+  /// come back after the store did.
+  static constexpr Milliseconds kLapseGrace{1800};
+  /// A status older than this says nothing any more.
+  static constexpr Milliseconds kStatusLifetime{1500};
+
+  /// Takes one change from the store. `settled` is false while the store has
+  /// only just come back, when a missing registration may still return.
+  void Apply(const UpstreamChange& change, bool settled, Moment now);
+  void TakeStatus(const UpstreamStatus& status, Moment now);
+  void TakeAnsweredLoad(const std::string& id, const AnsweredLoad& load,
+                        Moment now);
+  void OnSent(const std::string& id, Moment now);
+  /// Bytes of an answer came.
+  void OnProgress(const std::string& id, Moment now);
+  /// A request ended; `ok` is whether the upstream answered it properly.
+  void OnEnded(const std::string& id, bool ok, Moment now);
+  /// The upstream refused a request without running it.
+  void OnRefused(const std::string& id, Moment now);
+  /// Drops the upstreams whose grace is over.
+  void Expire(Moment now);
+
+  /// The upstreams of a service that may get new work at `now`.
+  std::vector<FleetUpstream*> Usable(const std::string& service, Moment now);
+  FleetUpstream* Find(const std::string& id);
+  const std::map<std::string, FleetUpstream>& all() const { return upstreams_; }
+
+  /// The version of a model that an upstream serves whole, or 0.
+  static uint64_t ServedVersion(const FleetUpstream& upstream,
+                                const std::string& model, Moment now);
+
+ private:
+  std::map<std::string, FleetUpstream> upstreams_;
+};
+
+}  // namespace primrosecove
--- /dev/null
+++ b/Source/Core/Fleet/version_floor.cc
@@ -0,0 +1,50 @@
+#include "Core/Fleet/version_floor.h"
+
+#include <algorithm>
+
+namespace primrosecove {
+namespace {
+
+// What passes between the store's acknowledgement and this process's learning
+// of it, and between sending a request and its first token.
+constexpr Milliseconds kMargin{1200};
+// A host that has just started is not yet held to the bound for about as long.
+constexpr Milliseconds kAfterStart{2000};
+// Versions that no request can still depend on are forgotten.
+constexpr size_t kMaxNamed = 16;
+
+}  // namespace
+
+void VersionFloor::Name(const std::string& model, uint64_t version,
+                        bool first_read, Milliseconds now) {
+  std::vector<Named>& named = by_model_[model];
+  if (!named.empty() && version <= named.back().version) return;
+  Milliseconds binding = now + (first_read ? kAfterStart : bound_ - kMargin);
+  named.push_back({version, now, binding});
+  if (named.size() > kMaxNamed) named.erase(named.begin());
+}
+
+uint64_t VersionFloor::Lowest(const std::string& model,
+                              Milliseconds now) const {
+  auto it = by_model_.find(model);
+  uint64_t out = 0;
+  if (it == by_model_.end()) return out;
+  for (const Named& named : it->second) {
+    if (now >= named.binding) out = std::max(out, named.version);
+  }
+  return out;
+}
+
+uint64_t VersionFloor::Newest(const std::string& model) const {
+  auto it = by_model_.find(model);
+  return it == by_model_.end() ? 0 : it->second.back().version;
+}
+
+Milliseconds VersionFloor::AgeOfNewest(const std::string& model,
+                                       Milliseconds now) const {
+  auto it = by_model_.find(model);
+  return it == by_model_.end() ? Milliseconds(0)
+                               : now - it->second.back().learnt;
+}
+
+}  // namespace primrosecove
--- /dev/null
+++ b/Source/Core/Fleet/version_floor.h
@@ -0,0 +1,39 @@
+// Which versions of weights a new request may still begin on.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "Core/Fleet/deployment.h"
+
+namespace primrosecove {
+
+/// Remembers when each version was named and from when on older ones may begin
+/// nothing more. Not thread safe; time is handed in.
+class VersionFloor {
+ public:
+  explicit VersionFloor(Milliseconds bound) : bound_(bound) {}
+
+  /// Learns that `version` is to be served. `first_read` is set for what was
+  /// named before this process began to read: it can't tell how long ago, so
+  /// it allows only what a host that has just started may.
+  void Name(const std::string& model, uint64_t version, bool first_read,
+            Milliseconds now);
+  /// The lowest version that a request may begin on.
+  uint64_t Lowest(const std::string& model, Milliseconds now) const;
+  /// The newest named version, or 0.
+  uint64_t Newest(const std::string& model) const;
+  /// How long ago the newest version was learnt of.
+  Milliseconds AgeOfNewest(const std::string& model, Milliseconds now) const;
+
+ private:
+  struct Named {
+    uint64_t version;
+    Milliseconds learnt;
+    Milliseconds binding;  // from when on older versions are barred
+  };
+  Milliseconds bound_;
+  std::map<std::string, std::vector<Named>> by_model_;
+};
+
+}  // namespace primrosecove
--- /dev/null
+++ b/Source/Core/Fleet/weight_copy.h
@@ -0,0 +1,48 @@
+// One version of a model's weights in this process's memory, piece by piece.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Core/Common/digest.h"
+#include "Core/Common/error.h"
+
+namespace primrosecove {
+
+/// Holds pieces that match their digests, and nothing else. Not thread safe.
+class WeightCopy {
+ public:
+  WeightCopy(std::string model, uint64_t version)
+      : model_(std::move(model)), version_(version) {}
+
+  /// Sets the digests, in hexadecimal; fails with kInvalidArgument on a
+  /// malformed one. Pieces that were held are dropped.
+  Result<void> SetDigests(const std::vector<std::string>& hex);
+  bool has_digests() const { return !digests_.empty(); }
+  const std::vector<Digest>& digests() const { return digests_; }
+  /// Keeps a piece; false when it is not what its digest says.
+  bool Add(uint32_t n, std::string bytes);
+  bool Has(uint32_t n) const { return n < held_.size() && held_[n]; }
+  /// Precondition: Has(n). Valid as long as this object.
+  std::string_view Piece(uint32_t n) const { return pieces_[n]; }
+  /// Whether `bytes` are piece `n`, held or not.
+  bool Matches(uint32_t n, std::string_view bytes) const;
+  std::vector<uint32_t> Missing() const;
+  uint32_t size() const { return static_cast<uint32_t>(digests_.size()); }
+  bool complete() const { return has_digests() && held_count_ == size(); }
+  uint32_t held_count() const { return held_count_; }
+  const std::string& model() const { return model_; }
+  uint64_t version() const { return version_; }
+
+ private:
+  std::string model_;
+  uint64_t version_;
+  std::vector<Digest> digests_;
+  std::vector<std::string> pieces_;
+  std::vector<bool> held_;
+  uint32_t held_count_ = 0;
+};
+
+}  // namespace primrosecove
--- /dev/null
+++ b/Source/Core/Net/http1_calls.cc
@@ -0,0 +1,30 @@
+#include "Core/Net/http1_calls.h"
+
+#include <utility>
+
+namespace primrosecove {
+
+void Http1Calls::Send(const Endpoint& endpoint, const HttpRequest& request,
+                      Milliseconds bound, Callback callback) {
+  uint64_t number = next_++;
+  CallOptions options;
+  options.timeout = bound;
+  CallEvents events;
+  events.on_end = [this, number,
+                   callback = std::move(callback)](CallResult result) {
+    calls_.erase(number);
+    if (result.end == CallEnd::kComplete) {
+      HttpResponse response;
+      response.status = result.head->status;
+      response.headers = std::move(result.head->headers);
+      response.body = std::move(result.body);
+      return callback(std::move(response));
+    }
+    bool sent = result.end != CallEnd::kNotSent;
+    callback(Fail(sent ? ErrorCode::kTimeout : ErrorCode::kUnavailable,
+                  sent ? "no whole answer" : "no connection"));
+  };
+  calls_[number] = client_->Send(endpoint, request, options, std::move(events));
+}
+
+}  // namespace primrosecove
--- /dev/null
+++ b/Source/Core/Net/http1_client.cc
@@ -0,0 +1,356 @@
+#include "Core/Net/http1_client.h"
+
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "Core/Common/text.h"
+
+namespace primrosecove {
+namespace {
+
+// Idle connections are closed before the other side's time-out: RFC 9112,
+// section 9.3.1, on requests that cross a close.
+constexpr double kKeepAliveShare = 0.7;
+// Used where the other side states no time-out.
+constexpr Milliseconds kDefaultKeepAlive{3000};
+constexpr Milliseconds kSweepPeriod{500};
+// Unacknowledged data for longer than this means that the path is gone; the
+// platform's cuts never answer.
+constexpr int kTcpUserTimeoutMs = 3000;
+constexpr uint32_t kMaxResponseHeadBytes = 64 << 10;
+
+void SetSocketOptions(evutil_socket_t fd) {
+  int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kTcpUserTimeoutMs,
+             sizeof(kTcpUserTimeoutMs));
+}
+
+Milliseconds KeepAliveOf(const HttpHeaders& headers) {
+  auto field = headers.Find("Keep-Alive");
+  if (!field) return kDefaultKeepAlive;
+  size_t at = field->find("timeout=");
+  if (at == std::string_view::npos) return kDefaultKeepAlive;
+  std::string_view rest = field->substr(at + 8);
+  auto seconds = ParseU64(rest.substr(0, rest.find_first_not_of("0123456789")));
+  if (!seconds) return kDefaultKeepAlive;
+  return Milliseconds(
+      static_cast<int64_t>(static_cast<double>(*seconds) * 1000 *
+                           kKeepAliveShare));
+}
+
+std::string Serialize(const HttpRequest& request, const Endpoint& endpoint) {
+  std::string out;
+  out.reserve(512 + request.body.size());
+  out.append(request.method).append(" ").append(request.target);
+  out.append(" HTTP/1.1\r\n");
+  for (const auto& [name, value] : request.headers.fields()) {
+    out.append(name).append(": ").append(value).append("\r\n");
+  }
+  if (!request.headers.Find("Host")) {
+    out.append("Host: ").append(endpoint.ToString()).append("\r\n");
+  }
+  if (!request.body.empty() || request.method == "POST" ||
+      request.method == "PUT") {
+    out.append("Content-Length: ")
+        .append(std::to_string(request.body.size()))
+        .append("\r\n");
+  }
+  out.append("\r\n").append(request.body);
+  return out;
+}
+
+}  // namespace
+
+// One connection and the call on it; the client owns it.
+class Http1Connection : public std::enable_shared_from_this<Http1Connection> {
+ public:
+  Http1Connection(Http1Client* client, EventLoop* loop, Endpoint endpoint)
+      : client_(client), loop_(loop), endpoint_(std::move(endpoint)) {}
+  ~Http1Connection() { Close(); }
+
+  void Begin(std::string bytes, const CallOptions& options, CallEvents events);
+  // Ends call `number` without a report, if it is still under way.
+  void Abandon(uint64_t number);
+  void Close();
+  uint64_t call_number() const { return call_number_; }
+  bool open() const { return bev_ != nullptr; }
+  const Endpoint& endpoint() const { return endpoint_; }
+
+ private:
+  static void OnReadable(bufferevent*, void* arg) {
+    auto self = static_cast<Http1Connection*>(arg)->shared_from_this();
+    self->Read();
+  }
+  static void OnEvent(bufferevent*, short what, void* arg) {
+    auto self = static_cast<Http1Connection*>(arg)->shared_from_this();
+    self->HandleEvent(what);
+  }
+  bool Connect();
+  void StartParser();
+  void Read();
+  void HandleEvent(short what);
+  void TakeHead(Http1Head head);
+  void TakeBody(std::string_view piece);
+  void FinishResponse();
+  void Finish(CallEnd end);
+  bool Wrote() const { return written_; }
+
+  Http1Client* client_;
+  EventLoop* loop_;
+  Endpoint endpoint_;
+  bufferevent* bev_ = nullptr;
+  bool connected_ = false;
+  bool written_ = false;
+  bool busy_ = false;
+  bool reading_ = false;
+  uint64_t call_number_ = 0;
+  bool response_complete_ = false;
+  bool skipping_ = false;
+  std::string outgoing_;
+  std::unique_ptr<Http1Parser> parser_;
+  CallOptions options_;
+  CallEvents events_;
+  CallResult result_;
+  Timer deadline_;
+  Timer connect_deadline_;
+};
+
+bool Http1Connection::Connect() {
+  bev_ = bufferevent_socket_new(loop_->base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  if (bev_ == nullptr) return false;
+  bufferevent_setcb(bev_, OnReadable, nullptr, OnEvent, this);
+  sockaddr_in address = endpoint_.ToSockaddr();
+  ++client_->stats_.connections_opened;
+  return bufferevent_socket_connect(
+             bev_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+}
+
+void Http1Connection::Begin(std::string bytes, const CallOptions& options,
+                            CallEvents events) {
+  options_ = options;
+  events_ = std::move(events);
+  result_ = CallResult();
+  busy_ = true;
+  written_ = false;
+  ++call_number_;
+  StartParser();
+  std::weak_ptr<Http1Connection> weak = weak_from_this();
+  if (options.timeout.count() > 0) {
+    deadline_ = loop_->After(options.timeout, [weak] {
+      if (auto self = weak.lock()) self->Finish(CallEnd::kTimeout);
+    });
+  }
+  if (open()) {
+    written_ = true;
+    bufferevent_write(bev_, bytes.data(), bytes.size());
+    return;
+  }
+  outgoing_ = std::move(bytes);
+  if (!Connect()) {
+    loop_->Post([weak] {
+      if (auto self = weak.lock()) self->Finish(CallEnd::kNotSent);
+    });
+    return;
+  }
+  connect_deadline_ = loop_->After(options.connect_timeout, [weak] {
+    if (auto self = weak.lock()) self->Finish(CallEnd::kNotSent);
+  });
+}
+
+void Http1Connection::StartParser() {
+  Http1Parser::Events events;
+  events.on_head = [this](Http1Head head) { TakeHead(std::move(head)); };
+  events.on_body = [this](std::string_view piece) { TakeBody(piece); };
+  events.on_complete = [this] { response_complete_ = true; };
+  response_complete_ = false;
+  skipping_ = false;
+  parser_ = std::make_unique<Http1Parser>(Http1Parser::Kind::kResponse,
+                                          kMaxResponseHeadBytes, events);
+  if (options_.head_request) parser_->SkipBodies();
+}
+
+void Http1Connection::HandleEvent(short what) {
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    connected_ = true;
+    connect_deadline_.Cancel();
+    SetSocketOptions(bufferevent_getfd(bev_));
+    bufferevent_enable(bev_, EV_READ | EV_WRITE);
+    written_ = true;
+    bufferevent_write(bev_, outgoing_.data(), outgoing_.size());
+    outgoing_.clear();
+    return;
+  }
+  if (!busy_) {
+    client_->Forget(this);
+    Close();
+    return;
+  }
+  if (!connected_) return Finish(CallEnd::kNotSent);
+  bool orderly = (what & BEV_EVENT_EOF) != 0 && (what & BEV_EVENT_ERROR) == 0;
+  if (orderly && result_.head && result_.head->ends_with_connection) {
+    parser_->ParseEnd();
+    result_.unframed = true;
+    if (response_complete_) return Finish(CallEnd::kComplete);
+  }
+  Finish(CallEnd::kBroken);
+}
+
+void Http1Connection::Read() {
+  evbuffer* in = bufferevent_get_input(bev_);
+  if (!busy_) {
+    // Bytes outside a call belong to no request.
+    client_->Forget(this);
+    Close();
+    return;
+  }
+  while (busy_ && bev_ != nullptr) {
+    size_t n = evbuffer_get_contiguous_space(in);
+    if (n == 0) return;
+    auto* data = reinterpret_cast<char*>(evbuffer_pullup(in, n));
+    reading_ = true;
+    size_t used = parser_->Parse({data, n});
+    reading_ = false;
+    // The call was dropped by one of its callbacks.
+    if (!busy_) return Close();
+    evbuffer_drain(in, used);
+    if (parser_->failed()) return Finish(CallEnd::kMalformed);
+    if (response_complete_) FinishResponse();
+  }
+}
+
+void Http1Connection::TakeHead(Http1Head head) {
+  constexpr int kFirstFinalStatus = 200;
+  skipping_ = head.status < kFirstFinalStatus;
+  if (!skipping_ && !options_.echo_header.empty()) {
+    auto echo = head.headers.Find(options_.echo_header);
+    skipping_ = echo.has_value() && *echo != options_.echo_value;
+    if (skipping_) ++client_->stats_.responses_skipped;
+  }
+  if (skipping_) return;
+  result_.head = std::move(head);
+  // A copy, because the callback may drop the call.
+  auto on_head = events_.on_head;
+  if (on_head) on_head(*result_.head);
+}
+
+void Http1Connection::TakeBody(std::string_view piece) {
+  if (skipping_ || !busy_) return;
+  if (events_.on_data) {
+    auto on_data = events_.on_data;
+    return on_data(piece);
+  }
+  result_.body.append(piece);
+}
+
+void Http1Connection::FinishResponse() {
+  if (skipping_) return StartParser();
+  Finish(CallEnd::kComplete);
+}
+
+void Http1Connection::Finish(CallEnd end) {
+  if (!busy_) return;
+  busy_ = false;
+  deadline_.Cancel();
+  connect_deadline_.Cancel();
+  auto self = shared_from_this();
+  client_->busy_.erase(self);
+  if (!Wrote() && end != CallEnd::kNotSent) end = CallEnd::kNotSent;
+  // A request whose bytes are not all written would have its rest read as the
+  // next request.
+  bool reusable =
+      end == CallEnd::kComplete && result_.head->keep_alive &&
+      !result_.unframed &&
+      evbuffer_get_length(bufferevent_get_output(bev_)) == 0 &&
+      evbuffer_get_length(bufferevent_get_input(bev_)) == 0;
+  if (reusable) {
+    client_->Keep(self, KeepAliveOf(result_.head->headers));
+  } else {
+    Close();
+  }
+  result_.end = end;
+  CallEvents events = std::move(events_);
+  events_ = CallEvents();
+  if (events.on_end) events.on_end(std::move(result_));
+}
+
+void Http1Connection::Abandon(uint64_t number) {
+  if (!busy_ || number != call_number_) return;
+  busy_ = false;
+  events_ = CallEvents();
+  auto self = shared_from_this();
+  client_->busy_.erase(self);
+  // While the parser works on the buffer, Read closes when it returns.
+  if (!reading_) Close();
+}
+
+void Http1Connection::Close() {
+  deadline_.Cancel();
+  connect_deadline_.Cancel();
+  if (bev_ != nullptr) bufferevent_free(bev_);
+  bev_ = nullptr;
+  busy_ = false;
+}
+
+Http1Call::~Http1Call() {
+  if (auto connection = connection_.lock()) connection->Abandon(number_);
+}
+
+Http1Client::Http1Client(EventLoop* loop) : loop_(loop) {
+  sweep_timer_ = loop_->Every(kSweepPeriod, [this] { Sweep(); });
+}
+
+Http1Client::~Http1Client() = default;
+
+std::unique_ptr<Http1Call> Http1Client::Send(const Endpoint& endpoint,
+                                             const HttpRequest& request,
+                                             const CallOptions& options,
+                                             CallEvents events) {
+  CallOptions call = options;
+  call.head_request = request.method == "HEAD";
+  std::shared_ptr<Http1Connection> connection;
+  auto it = idle_.find(endpoint);
+  if (!options.fresh_connection && it != idle_.end() && !it->second.empty()) {
+    // The most recently used connection is the one least likely to be dead.
+    connection = std::move(it->second.back().connection);
+    it->second.pop_back();
+  }
+  if (connection == nullptr) {
+    connection = std::make_shared<Http1Connection>(this, loop_, endpoint);
+  }
+  busy_.insert(connection);
+  connection->Begin(Serialize(request, endpoint), call, std::move(events));
+  return std::make_unique<Http1Call>(connection, connection->call_number());
+}
+
+void Http1Client::Keep(const std::shared_ptr<Http1Connection>& connection,
+                       Milliseconds keep_for) {
+  idle_[connection->endpoint()].push_back(
+      {connection, EventLoop::Now() + keep_for});
+}
+
+void Http1Client::Forget(Http1Connection* connection) {
+  auto it = idle_.find(connection->endpoint());
+  if (it == idle_.end()) return;
+  std::erase_if(it->second, [connection](const Idle& idle) {
+    return idle.connection.get() == connection;
+  });
+}
+
+void Http1Client::DropIdle(const Endpoint& endpoint) { idle_.erase(endpoint); }
+
+void Http1Client::Sweep() {
+  SteadyTime now = EventLoop::Now();
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    std::erase_if(it->second,
+                  [now](const Idle& idle) { return idle.expires <= now; });
+    it = it->second.empty() ? idle_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace primrosecove
--- /dev/null
+++ b/Source/Core/Net/http1_parser.cc
@@ -0,0 +1,157 @@
+#include "Core/Net/http1_parser.h"
+
+#include <limits>
+#include <utility>
+
+namespace primrosecove {
+namespace {
+
+Http1Parser* Self(http_parser* parser) {
+  return static_cast<Http1Parser*>(parser->data);
+}
+
+// RFC 9112, section 6.3: which responses have a body that only the close of
+// the connection ends.
+bool EndsWithConnection(const http_parser& parser) {
+  constexpr int kFirstFinalStatus = 200;
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  if (parser.type == HTTP_REQUEST) return false;
+  if (parser.status_code < kFirstFinalStatus ||
+      parser.status_code == kNoContent || parser.status_code == kNotModified) {
+    return false;
+  }
+  return (parser.flags & F_CHUNKED) == 0 &&
+         parser.content_length == std::numeric_limits<uint64_t>::max();
+}
+
+}  // namespace
+
+const http_parser_settings& Http1Parser::Settings() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings out;
+    http_parser_settings_init(&out);
+    out.on_message_begin = OnMessageBegin;
+    out.on_url = OnUrl;
+    out.on_status = OnStatus;
+    out.on_header_field = OnHeaderField;
+    out.on_header_value = OnHeaderValue;
+    out.on_headers_complete = OnHeadersComplete;
+    out.on_body = OnBody;
+    out.on_message_complete = OnMessageComplete;
+    return out;
+  }();
+  return settings;
+}
+
+Http1Parser::Http1Parser(Kind kind, uint32_t max_head_bytes, Events events)
+    : max_head_bytes_(max_head_bytes), events_(std::move(events)) {
+  http_parser_init(&parser_,
+                   kind == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+  parser_.data = this;
+}
+
+size_t Http1Parser::Parse(std::string_view bytes) {
+  if (failed_) return 0;
+  complete_ = false;
+  size_t n =
+      http_parser_execute(&parser_, &Settings(), bytes.data(), bytes.size());
+  if (complete_) {
+    http_parser_pause(&parser_, 0);
+    return n;
+  }
+  if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade != 0) {
+    failed_ = true;
+  }
+  return n;
+}
+
+void Http1Parser::ParseEnd() {
+  if (failed_ || !in_message_) return;
+  http_parser_execute(&parser_, &Settings(), nullptr, 0);
+  if (!complete_) failed_ = true;
+}
+
+bool Http1Parser::CountHeadBytes(size_t n) {
+  head_bytes_ += n;
+  if (head_bytes_ <= max_head_bytes_) return true;
+  head_too_large_ = true;
+  return false;
+}
+
+void Http1Parser::FinishHeader() {
+  if (value_begun_) {
+    head_.headers.Add(std::exchange(field_, {}), std::exchange(value_, {}));
+  }
+  value_begun_ = false;
+}
+
+int Http1Parser::OnMessageBegin(http_parser* parser) {
+  Http1Parser* self = Self(parser);
+  self->head_ = Http1Head();
+  self->field_.clear();
+  self->value_.clear();
+  self->head_bytes_ = 0;
+  self->value_begun_ = false;
+  self->in_message_ = true;
+  return 0;
+}
+
+int Http1Parser::OnUrl(http_parser* parser, const char* at, size_t n) {
+  Self(parser)->head_.target.append(at, n);
+  return Self(parser)->CountHeadBytes(n) ? 0 : 1;
+}
+
+int Http1Parser::OnStatus(http_parser* parser, const char* at, size_t n) {
+  Self(parser)->head_.reason.append(at, n);
+  return Self(parser)->CountHeadBytes(n) ? 0 : 1;
+}
+
+int Http1Parser::OnHeaderField(http_parser* parser, const char* at, size_t n) {
+  Http1Parser* self = Self(parser);
+  self->FinishHeader();
+  self->field_.append(at, n);
+  return self->CountHeadBytes(n) ? 0 : 1;
+}
+
+int Http1Parser::OnHeaderValue(http_parser* parser, const char* at, size_t n) {
+  Http1Parser* self = Self(parser);
+  self->value_begun_ = true;
+  self->value_.append(at, n);
+  return self->CountHeadBytes(n) ? 0 : 1;
+}
+
+int Http1Parser::OnHeadersComplete(http_parser* parser) {
+  Http1Parser* self = Self(parser);
+  self->FinishHeader();
+  Http1Head& head = self->head_;
+  if (parser->type == HTTP_REQUEST) {
+    head.method = http_method_str(static_cast<http_method>(parser->method));
+  }
+  head.status = static_cast<int>(parser->status_code);
+  head.keep_alive = http_should_keep_alive(parser) != 0;
+  head.ends_with_connection = EndsWithConnection(*parser);
+  if (parser->content_length != std::numeric_limits<uint64_t>::max()) {
+    head.content_length = parser->content_length;
+  }
+  if (self->events_.on_head) self->events_.on_head(std::move(head));
+  constexpr int kSkipBody = 1;
+  return self->skip_body_ ? kSkipBody : 0;
+}
+
+int Http1Parser::OnBody(http_parser* parser, const char* at, size_t n) {
+  if (Self(parser)->events_.on_body) Self(parser)->events_.on_body({at, n});
+  return 0;
+}
+
+int Http1Parser::OnMessageComplete(http_parser* parser) {
+  Http1Parser* self = Self(parser);
+  self->in_message_ = false;
+  self->complete_ = true;
+  // The next message must not be parsed before this one has been answered.
+  http_parser_pause(parser, 1);
+  if (self->events_.on_complete) self->events_.on_complete();
+  return 0;
+}
+
+}  // namespace primrosecove
--- /dev/null
+++ b/Source/Core/Net/http1_server.cc
@@ -0,0 +1,399 @@
+#include "Core/Net/http1_server.h"
+
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+#include <vector>
+
+namespace primrosecove {
+namespace {
+
+constexpr Milliseconds kSweepPeriod{250};
+// Bytes of further requests that a caller may send before its answer; beyond
+// them reading stops.
+constexpr size_t kMaxPipelinedBytes = 64 << 10;
+// How long a closed connection waits for the caller to close its side. Closing
+// with unread bytes would reset the connection and lose the answer.
+constexpr Milliseconds kLinger{2000};
+// An answer that the caller doesn't read is given up beyond this size.
+constexpr size_t kMaxUnreadAnswerBytes = 4 << 20;
+
+std::string StatusLine(int status, std::string_view reason) {
+  std::string out = "HTTP/1.1 ";
+  out.append(std::to_string(status)).append(" ").append(reason);
+  return out.append("\r\n");
+}
+
+}  // namespace
+
+class Http1ServerConnection
+    : public std::enable_shared_from_this<Http1ServerConnection> {
+ public:
+  Http1ServerConnection(Http1Server* server, evutil_socket_t fd);
+  ~Http1ServerConnection() { Free(); }
+
+  void Start();
+  void Write(std::string_view bytes) {
+    if (bev_ != nullptr) bufferevent_write(bev_, bytes.data(), bytes.size());
+  }
+  size_t pending_bytes() const {
+    return bev_ == nullptr
+               ? 0
+               : evbuffer_get_length(bufferevent_get_output(bev_));
+  }
+  // Ends the answer at work; the next request is parsed, or the connection
+  // closed after what was written.
+  void FinishAnswer(bool keep_alive);
+  // Closes at once; what was written may be lost.
+  void Abort();
+  bool draining() const { return server_ != nullptr && server_->draining_; }
+  void CheckTimes(SteadyTime now);
+  bool idle() const { return exchange_ == nullptr && !parser_->in_message(); }
+  // Closes after what was written has been sent and the caller has closed.
+  void CloseGracefully();
+  void Detach();
+
+ private:
+  static void OnReadable(bufferevent*, void* arg) {
+    auto self = static_cast<Http1ServerConnection*>(arg)->shared_from_this();
+    self->Read();
+  }
+  static void OnWritable(bufferevent*, void* arg) {
+    auto self = static_cast<Http1ServerConnection*>(arg)->shared_from_this();
+    self->HandleDrained();
+  }
+  static void OnEvent(bufferevent*, short, void* arg) {
+    auto self = static_cast<Http1ServerConnection*>(arg)->shared_from_this();
+    self->HandleGone();
+  }
+  void Read();
+  void HandleDrained();
+  void HandleGone();
+  void TakeRequest();
+  void Refuse(int status, std::string_view reason);
+  void Remove();
+  void Free();
+
+  Http1Server* server_;
+  bufferevent* bev_;
+  std::unique_ptr<Http1Parser> parser_;
+  HttpRequest request_;
+  bool request_keep_alive_ = false;
+  bool request_complete_ = false;
+  bool head_seen_ = false;
+  bool body_too_large_ = false;
+  bool closing_ = false;
+  SteadyTime since_;  // of the current phase: idle, reading, closing
+  SteadyTime message_begin_;
+  std::shared_ptr<Http1Exchange> exchange_;
+};
+
+Http1ServerConnection::Http1ServerConnection(Http1Server* server,
+                                             evutil_socket_t fd)
+    : server_(server),
+      bev_(bufferevent_socket_new(server->loop_->base(), fd,
+                                  BEV_OPT_CLOSE_ON_FREE)),
+      since_(EventLoop::Now()) {
+  Http1Parser::Events events;
+  events.on_head = [this](Http1Head head) {
+    head_seen_ = true;
+    request_.method = std::move(head.method);
+    request_.target = std::move(head.target);
+    request_.headers = std::move(head.headers);
+    request_keep_alive_ = head.keep_alive;
+    body_too_large_ = head.content_length.value_or(0) >
+                      server_->limits_.max_body_bytes;
+    auto expect = request_.headers.Find("Expect");
+    if (expect && !body_too_large_) Write("HTTP/1.1 100 Continue\r\n\r\n");
+  };
+  events.on_body = [this](std::string_view piece) {
+    if (request_.body.size() + piece.size() > server_->limits_.max_body_bytes) {
+      body_too_large_ = true;
+    }
+    if (!body_too_large_) request_.body.append(piece);
+  };
+  events.on_complete = [this] { request_complete_ = true; };
+  parser_ = std::make_unique<Http1Parser>(Http1Parser::Kind::kRequest,
+                                          server->limits_.max_head_bytes,
+                                          std::move(events));
+}
+
+void Http1ServerConnection::Start() {
+  int on = 1;
+  setsockopt(bufferevent_getfd(bev_), IPPROTO_TCP, TCP_NODELAY, &on,
+             sizeof(on));
+  bufferevent_setcb(bev_, OnReadable, OnWritable, OnEvent, this);
+  bufferevent_enable(bev_, EV_READ | EV_WRITE);
+}
+
+void Http1ServerConnection::Read() {
+  evbuffer* in = bufferevent_get_input(bev_);
+  if (closing_) {
+    evbuffer_drain(in, evbuffer_get_length(in));
+    return;
+  }
+  if (exchange_ != nullptr) {
+    if (evbuffer_get_length(in) > kMaxPipelinedBytes) {
+      bufferevent_disable(bev_, EV_READ);
+    }
+    return;
+  }
+  while (bev_ != nullptr && !closing_ && exchange_ == nullptr) {
+    size_t n = evbuffer_get_contiguous_space(in);
+    if (n == 0) return;
+    if (!parser_->in_message()) message_begin_ = EventLoop::Now();
+    auto* data = reinterpret_cast<char*>(evbuffer_pullup(in, n));
+    size_t used = parser_->Parse({data, n});
+    evbuffer_drain(in, used);
+    if (body_too_large_) return Refuse(413, "Content Too Large");
+    if (parser_->head_too_large()) {
+      return Refuse(431, "Request Header Fields Too Large");
+    }
+    if (parser_->failed()) return Refuse(400, "Bad Request");
+    if (request_complete_) TakeRequest();
+  }
+}
+
+void Http1ServerConnection::TakeRequest() {
+  request_complete_ = false;
+  head_seen_ = false;
+  exchange_ = std::make_shared<Http1Exchange>(
+      weak_from_this(), std::exchange(request_, {}), request_keep_alive_);
+  ++server_->in_flight_;
+  // The handler's copy decides how long the exchange lives.
+  auto exchange = exchange_;
+  server_->handler_(std::move(exchange));
+}
+
+void Http1ServerConnection::FinishAnswer(bool keep_alive) {
+  auto self = shared_from_this();
+  exchange_.reset();
+  if (server_ != nullptr) --server_->in_flight_;
+  since_ = EventLoop::Now();
+  if (!keep_alive) return CloseGracefully();
+  if (bev_ == nullptr) return;
+  bufferevent_enable(bev_, EV_READ);
+  if (evbuffer_get_length(bufferevent_get_input(bev_)) == 0) return;
+  // A further request is already here; it is read from a fresh stack.
+  server_->loop_->Post([weak = weak_from_this()] {
+    auto self = weak.lock();
+    if (self != nullptr && self->bev_ != nullptr) self->Read();
+  });
+}
+
+void Http1ServerConnection::Refuse(int status, std::string_view reason) {
+  Write(StatusLine(status, reason) +
+        "Content-Length: 0\r\nConnection: close\r\n\r\n");
+  CloseGracefully();
+}
+
+void Http1ServerConnection::CloseGracefully() {
+  if (closing_ || bev_ == nullptr) return;
+  closing_ = true;
+  since_ = EventLoop::Now();
+  bufferevent_enable(bev_, EV_READ);
+  HandleDrained();
+}
+
+void Http1ServerConnection::HandleDrained() {
+  if (!closing_ || bev_ == nullptr || pending_bytes() > 0) return;
+  shutdown(bufferevent_getfd(bev_), SHUT_WR);
+}
+
+void Http1ServerConnection::HandleGone() {
+  auto exchange = exchange_;
+  Remove();
+  if (exchange == nullptr || exchange->finished_) return;
+  exchange->finished_ = true;
+  if (server_ != nullptr) --server_->in_flight_;
+  exchange_.reset();
+  auto callback = std::exchange(exchange->on_gone_, nullptr);
+  if (callback) callback();
+}
+
+void Http1ServerConnection::Abort() {
+  auto self = shared_from_this();
+  if (exchange_ != nullptr && server_ != nullptr) --server_->in_flight_;
+  exchange_.reset();
+  if (bev_ != nullptr) {
+    // Without a reset, an answer that ends with the connection would look
+    // complete.
+    linger reset{1, 0};
+    setsockopt(bufferevent_getfd(bev_), SOL_SOCKET, SO_LINGER, &reset,
+               sizeof(reset));
+  }
+  Remove();
+}
+
+void Http1ServerConnection::CheckTimes(SteadyTime now) {
+  const Http1Server::Limits& limits = server_->limits_;
+  if (closing_) {
+    if (now - since_ > kLinger) Remove();
+    return;
+  }
+  if (exchange_ != nullptr) {
+    if (pending_bytes() > kMaxUnreadAnswerBytes) HandleGone();
+    return;
+  }
+  if (!parser_->in_message()) {
+    if (now - since_ > limits.idle_timeout) CloseGracefully();
+    return;
+  }
+  Milliseconds bound = head_seen_ ? limits.request_timeout : limits.head_timeout;
+  if (now - message_begin_ > bound) Refuse(408, "Request Timeout");
+}
+
+void Http1ServerConnection::Remove() {
+  auto self = shared_from_this();
+  Free();
+  if (server_ != nullptr) server_->connections_.erase(this);
+}
+
+void Http1ServerConnection::Detach() {
+  server_ = nullptr;
+  exchange_.reset();
+  Free();
+}
+
+void Http1ServerConnection::Free() {
+  if (bev_ != nullptr) bufferevent_free(bev_);
+  bev_ = nullptr;
+}
+
+Http1Exchange::Http1Exchange(std::weak_ptr<Http1ServerConnection> connection,
+                             HttpRequest request, bool keep_alive)
+    : connection_(std::move(connection)),
+      request_(std::move(request)),
+      arrival_(EventLoop::Now()),
+      keep_alive_(keep_alive) {}
+
+Http1Exchange::~Http1Exchange() = default;
+
+void Http1Exchange::SendHead(int status, std::string_view reason,
+                             const HttpHeaders& headers,
+                             std::string_view framing) {
+  auto connection = connection_.lock();
+  if (connection == nullptr || finished_) return;
+  started_ = true;
+  if (connection->draining()) keep_alive_ = false;
+  std::string out = StatusLine(status, reason);
+  for (const auto& [name, value] : headers.fields()) {
+    out.append(name).append(": ").append(value).append("\r\n");
+  }
+  out.append(framing);
+  if (!keep_alive_) out.append("Connection: close\r\n");
+  out.append("\r\n");
+  connection->Write(out);
+}
+
+void Http1Exchange::Reply(int status, std::string_view reason,
+                          const HttpHeaders& headers, std::string_view body) {
+  auto connection = connection_.lock();
+  if (connection == nullptr || finished_) return;
+  SendHead(status, reason, headers,
+           "Content-Length: " + std::to_string(body.size()) + "\r\n");
+  if (request_.method != "HEAD") connection->Write(body);
+  FinishAnswer();
+}
+
+void Http1Exchange::StartStream(int status, std::string_view reason,
+                                const HttpHeaders& headers) {
+  SendHead(status, reason, headers, "Transfer-Encoding: chunked\r\n");
+}
+
+void Http1Exchange::Write(std::string_view piece) {
+  auto connection = connection_.lock();
+  if (connection == nullptr || finished_ || piece.empty()) return;
+  char size[20];
+  int n = std::snprintf(size, sizeof(size), "%zx\r\n", piece.size());
+  std::string out(size, static_cast<size_t>(n));
+  out.append(piece).append("\r\n");
+  connection->Write(out);
+}
+
+void Http1Exchange::EndStream() {
+  auto connection = connection_.lock();
+  if (connection == nullptr || finished_) return;
+  connection->Write("0\r\n\r\n");
+  FinishAnswer();
+}
+
+void Http1Exchange::FinishAnswer() {
+  finished_ = true;
+  on_gone_ = nullptr;
+  if (auto connection = connection_.lock()) {
+    connection->FinishAnswer(keep_alive_);
+  }
+}
+
+void Http1Exchange::Abort() {
+  if (finished_) return;
+  finished_ = true;
+  on_gone_ = nullptr;
+  if (auto connection = connection_.lock()) connection->Abort();
+}
+
+size_t Http1Exchange::pending_bytes() const {
+  auto connection = connection_.lock();
+  return connection == nullptr ? 0 : connection->pending_bytes();
+}
+
+Http1Server::Http1Server(EventLoop* loop, Limits limits, Handler handler)
+    : loop_(loop), limits_(limits), handler_(std::move(handler)) {
+  sweep_timer_ = loop_->Every(kSweepPeriod, [this] { Sweep(); });
+}
+
+Http1Server::~Http1Server() {
+  if (listener_ != nullptr) evconnlistener_free(listener_);
+  for (auto& [raw, connection] : connections_) connection->Detach();
+}
+
+Result<void> Http1Server::Listen(const Endpoint& endpoint) {
+  constexpr int kBacklog = 1024;
+  sockaddr_in address = endpoint.ToSockaddr();
+  listener_ = evconnlistener_new_bind(
+      loop_->base(), OnAccept, this,
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+      kBacklog, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  if (listener_ == nullptr) {
+    return Fail(ErrorCode::kUnavailable, "cannot listen on " +
+                                             endpoint.ToString() + ": " +
+                                             std::strerror(errno));
+  }
+  return outcome::success();
+}
+
+void Http1Server::OnAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int,
+                           void* arg) {
+  auto* self = static_cast<Http1Server*>(arg);
+  if (self->connections_.size() >= self->limits_.max_connections) {
+    evutil_closesocket(fd);
+    return;
+  }
+  auto connection = std::make_shared<Http1ServerConnection>(self, fd);
+  self->connections_.emplace(connection.get(), connection);
+  connection->Start();
+}
+
+void Http1Server::CloseIdle() {
+  std::vector<std::shared_ptr<Http1ServerConnection>> idle;
+  for (auto& [raw, connection] : connections_) {
+    if (connection->idle()) idle.push_back(connection);
+  }
+  for (auto& it : idle) it->CloseGracefully();
+}
+
+void Http1Server::Sweep() {
+  SteadyTime now = EventLoop::Now();
+  std::vector<std::shared_ptr<Http1ServerConnection>> all;
+  all.reserve(connections_.size());
+  for (auto& [raw, connection] : connections_) all.push_back(connection);
+  for (auto& it : all) it->CheckTimes(now);
+}
+
+}  // namespace primrosecove
--- /dev/null
+++ b/Source/Core/Router/fleet_request.h
@@ -0,0 +1,92 @@
+// One caller's request on a prepared deployment, from its arrival to its
+// answer.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "Core/Fleet/event_framer.h"
+#include "Core/Fleet/request_fields.h"
+#include "Core/Fleet/route_table.h"
+#include "Core/Net/http1_client.h"
+#include "Core/Net/http1_server.h"
+#include "Core/Router/fleet_state.h"
+
+namespace primrosecove {
+
+/// Owns one exchange with a caller and the calls to upstreams made for it. Use
+/// it on its loop's thread only.
+class FleetRequest : public std::enable_shared_from_this<FleetRequest> {
+ public:
+  /// Precondition: `state` outlives this object.
+  FleetRequest(FleetState* state, std::shared_ptr<Http1Exchange> exchange);
+  ~FleetRequest();
+
+  /// Begins; may end before it returns.
+  void Start();
+  /// Moves to another upstream when the one at work has gone silent or is
+  /// known to be gone, and the request may be repeated.
+  void CheckUpstream(Moment now);
+  bool ended() const { return ended_; }
+
+ private:
+  // What of the request may have run.
+  enum class Fate { kNotSent, kRefused, kMayHaveRun };
+
+  bool Understand();
+  bool CheckKey();
+  void Dispatch();
+  std::vector<FleetUpstream*> Candidates(Moment now);
+  void Send(FleetUpstream* upstream);
+  void TakeHead(const Http1Head& head);
+  void TakeData(std::string_view bytes);
+  void TakeEvent(const StreamEvent& event);
+  void TakeEnd(CallResult result);
+  void TakeAnswer(const CallResult& result);
+  void TakeFailure(const char* why);
+  void RetryOrFail(const char* why);
+  // Ends with what is true: broken off, failed, or refused as not run.
+  void GiveUp(const char* why, Milliseconds retry_after);
+  bool MayTryAgain();
+  void ReleaseUpstream(bool ok);
+  void HandleTimeout();
+  void HandleGone();
+  Milliseconds TimeLeft() const;
+
+  void Refuse(const char* why, std::optional<Milliseconds> retry_after);
+  void Deny(int status, std::string_view reason, const char* why);
+  void Fail(int status, std::string_view reason, const char* why);
+  void Finish(const char* outcome, int status, const char* why);
+
+  FleetState* state_;
+  std::shared_ptr<Http1Exchange> exchange_;
+  std::shared_ptr<const RouteTable> routes_;
+  const Route* route_ = nullptr;
+  const FleetService* service_ = nullptr;
+  CallerFields fields_;
+  std::string workspace_;
+  Moment arrival_{0};
+  Moment bound_{0};  // when the final answer is due
+  Timer bound_timer_;
+
+  std::unique_ptr<Http1Call> call_;
+  std::string upstream_id_;
+  Moment sent_at_{0};
+  std::set<std::string> tried_;
+  int attempts_ = 0;     // upstreams that the request was sent to
+  int unsent_ = 0;       // connections that could not be made
+  Fate fate_ = Fate::kNotSent;
+
+  bool streaming_ = false;  // the call at work answers with events
+  std::string body_;        // of an answer that is no stream
+  EventFramer framer_;
+  std::optional<uint64_t> last_event_;
+  std::optional<uint64_t> weights_version_;  // of the events passed on
+  int events_ = 0;
+  Moment first_event_at_{0};
+  bool ended_ = false;
+};
+
+}  // namespace primrosecove
--- a/Source/Primrosecove/main.cc
+++ b/Source/Primrosecove/main.cc
@@ -4,9 +4,13 @@
 #include <utility>
 
 #include "Core/Agent/agent.h"
+#include "Core/Agent/fleet_agent.h"
+#include "Core/Common/log.h"
+#include "Core/Router/fleet_router.h"
 #include "Core/Router/router.h"
 #include "Primrosecove/command_line.h"
 #include "Primrosecove/operator_commands.h"
+#include "platform/settings.h"
 
 namespace primrosecove {
 namespace {
@@ -88,6 +92,68 @@
   });
 }
 
+// Starts a daemon of a prepared deployment, whose settings the platform lays in
+// a file.
+template <typename Process, typename... Options>
+int RunFleetProcess(const std::string& log_levels, const std::string& path,
+                    Options... options) {
+  auto logging = InitializeEventLogging(log_levels);
+  if (!logging) return ReportUsage(logging.error());
+  auto settings = platform::ReadSettings(path);
+  if (!settings) return ReportUsage(settings.error());
+  Process process(options..., std::move(settings).value());
+  auto started = process.Start();
+  if (!started) {
+    std::cerr << "primrosecove: " << started.error().message << "\n";
+    return kExitFailed;
+  }
+  return process.Run();
+}
+
+struct FleetOptions {
+  std::string settings_path = platform::SettingsPath();
+  std::string log_levels = "info";
+  std::string placement = "expected-wait";
+};
+
+void AddFleetOptions(CLI::App* command, FleetOptions* options) {
+  AddSetting(command, "--settings", &options->settings_path,
+             "Settings file that the platform lays");
+  AddSetting(command, "--log-level", &options->log_levels,
+             "Default level and levels of parts, e.g. info,weights=debug");
+}
+
+void AddFleetRouter(CLI::App* app, std::function<int()>* run) {
+  CLI::App* command = app->add_subcommand(
+      "fleet-router", "Take callers' requests on a prepared entry host");
+  auto options = std::make_shared<FleetOptions>();
+  AddFleetOptions(command, options.get());
+  AddChoice(command, "--placement", &options->placement,
+            {"expected-wait", "least-in-flight", "round-robin"},
+            "How upstreams are chosen");
+  command->callback([=] {
+    *run = [=] {
+      FleetRouterOptions router{options->settings_path, options->placement};
+      return RunFleetProcess<FleetRouter>(options->log_levels,
+                                          options->settings_path, router);
+    };
+  });
+}
+
+void AddFleetAgent(CLI::App* app, std::function<int()>* run) {
+  CLI::App* command = app->add_subcommand(
+      "fleet-agent", "Stand beside an engine on a prepared host");
+  auto options = std::make_shared<FleetOptions>();
+  AddFleetOptions(command, options.get());
+  command->callback([=] {
+    *run = [=] {
+      return RunFleetProcess<FleetAgent>(options->log_levels,
+                                         options->settings_path,
+                                         options->settings_path);
+    };
+  });
+}
+
 int Main(int argc, char** argv) {
   CLI::App app(
       "primrosecove delivers model weights and routes callers' requests "
@@ -98,6 +164,8 @@
   std::function<int()> run;
   AddRouter(&app, &run);
   AddAgent(&app, &run);
+  AddFleetRouter(&app, &run);
+  AddFleetAgent(&app, &run);
   AddOperatorCommands(&app, &run);
   try {
     app.parse(argc, argv);
