Pace transfers of weights so that callers' requests keep their way

Ruled out: engines' own queues (they refused nothing before 26 s), closing of callers' connections (the log shows the calls dropped at once; the bytes were on the link already).

--- a/Source/Core/Agent/fleet_agent.cc
+++ b/Source/Core/Agent/fleet_agent.cc
@@ -57,8 +57,6 @@
        &StagerCounters::sent_bytes},
       {"corrupt_pieces_total", "Pieces that were not what their digest says",
        &StagerCounters::corrupt_pieces},
-      {"stalls_total", "Sources that delivered nothing in time",
-       &StagerCounters::stalls},
       {"orders_total", "Orders to load", &StagerCounters::orders},
   };
   for (const Row& row : kRows) {
--- a/Source/Core/Agent/weight_stager.cc
+++ b/Source/Core/Agent/weight_stager.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Core/Common/digest.h"
 #include "Core/Common/log.h"
 #include "Core/Common/text.h"
 #include "Core/Fleet/fleet_ports.h"
@@ -14,24 +15,30 @@
 constexpr uint32_t kLocalAtOnce = 8;
 // Pieces that one agent draws from the origin at once. The origin's link is
 // shared by all agents; more at once would only make each later.
-constexpr size_t kOriginAtOnce = 3;
+constexpr size_t kOriginAtOnce = 2;
 // A source that delivers nothing for so long is left for others.
 constexpr Milliseconds kStall{1500};
 constexpr Milliseconds kAvoidFor{4000};
-constexpr Milliseconds kStallCheckPeriod{250};
+constexpr Milliseconds kRefreshPeriod{250};
 constexpr Milliseconds kRetryPause{150};
 // The manifest's drawer gets this many questions before another draws it.
 constexpr int kManifestTriesAtPeer = 8;
 // An order without any effect in this time is given again.
 constexpr Milliseconds kOrderAgain{1200};
-constexpr size_t kFrameHeadBytes = 8;
+constexpr size_t kNumberBytes = 4;
+constexpr double kUsualPieceBytes = 32 << 10;
+// Pieces that wait for their turn on the link; more are refused at once.
+constexpr size_t kMaxUploadsWaiting = 3;
+// About the time in which a busy source sends a piece.
+constexpr Milliseconds kBusyPause{30};
+// When to look again for a piece after a pause of the pacer.
+constexpr Milliseconds kFetchPause{40};
 
 // A manifest from a peer in the same network.
 constexpr Milliseconds kPeerBound{600};
 // A notice of an older state of the store is heeded when none of a newer one
 // has come for so long: a store restored from a backup starts lower.
 constexpr Milliseconds kNoticeLifetime{5000};
-constexpr uint32_t kMaxPieceBytes = 64 << 20;
 
 constexpr std::string_view kPathRoot = "weights";
 
@@ -54,30 +61,34 @@
   return out;
 }
 
-std::string FrameOf(const WeightCopy& copy, uint32_t n) {
-  std::string out;
-  std::string_view piece = copy.Piece(n);
-  out.reserve(kFrameHeadBytes + piece.size());
-  AppendU32(&out, n);
-  AppendU32(&out, static_cast<uint32_t>(piece.size()));
-  return out.append(piece);
-}
-
 }  // namespace
 
-// Pieces under way from one peer, on one connection.
-struct WeightStager::PeerFetch {
-  std::set<uint32_t> pieces;  // still to come
+// What one peer has, told as it gets it.
+struct WeightStager::Feed {
+  std::set<uint32_t> pieces;
   std::string buf;
-  SteadyTime heard = EventLoop::Now();
+  SteadyTime busy_until{};
+  std::unique_ptr<Http1Call> call;
+};
+
+// One piece on its way from a peer.
+struct WeightStager::Fetch {
+  std::string source;
+  SteadyTime begun = EventLoop::Now();
   std::unique_ptr<Http1Call> call;
 };
 
-// A peer that waits for pieces which are not here yet.
-struct WeightStager::Waiter {
+// A peer's request for a piece that waits for its turn on the link.
+struct WeightStager::Upload {
+  std::shared_ptr<Http1Exchange> exchange;
+  uint64_t version = 0;
+  uint32_t piece = 0;
+};
+
+// A peer that is told which pieces are here.
+struct WeightStager::Listener {
   std::shared_ptr<Http1Exchange> exchange;
   uint64_t version = 0;
-  std::set<uint32_t> pieces;
 };
 
 WeightStager::WeightStager(EventLoop* loop, Http1Client* client,
@@ -88,9 +99,11 @@
       settings_(std::move(settings)),
       origin_(client),
       peer_calls_(client),
+      upload_pacer_(settings_.link_bytes_per_second, kUsualPieceBytes),
+      random_(static_cast<uint32_t>(RandomU64())),
       notice_at_(EventLoop::Now()),
       ordered_at_(EventLoop::Now() - kOrderAgain) {
-  stall_timer_ = loop_->Every(kStallCheckPeriod, [this] { CheckStalls(); });
+  refresh_timer_ = loop_->Every(kRefreshPeriod, [this] { Refresh(); });
 }
 
 WeightStager::~WeightStager() = default;
@@ -148,7 +161,9 @@
   if (copy_ != nullptr && copy_->complete()) previous_ = std::move(copy_);
   copy_ = std::make_unique<WeightCopy>(notice_->model, version);
   fetches_.clear();
-  origin_wanted_.clear();
+  feeds_.clear();
+  plan_.clear();
+  fetch_pacer_ = FetchPacer();
   origin_under_way_.clear();
   to_stage_.clear();
   staging_ = 0;
@@ -157,10 +172,11 @@
   manifest_tries_ = 0;
   staged_version_ = 0;
   local_pending_ = 0;
-  for (auto& it : waiters_) {
-    if (it->version < version) it->exchange->EndStream();
+  for (Listener& it : listeners_) {
+    if (it.version < version) it.exchange->EndStream();
   }
-  std::erase_if(waiters_, [version](auto& it) { return it->version < version; });
+  std::erase_if(listeners_,
+                [version](auto& it) { return it.version < version; });
   FetchManifest();
 }
 
@@ -247,101 +263,148 @@
   if (!bytes) {
     ++local_absent_;
   } else if (copy_->Add(n, std::move(bytes).value())) {
-    FeedWaiters(n);
+    TellListeners(n);
   }
   ReadLocal();
 }
 
 void WeightStager::Plan() {
+  plan_.clear();
   if (!copy_->has_digests() || local_pending_ > 0) return;
-  std::vector<uint32_t> open;
-  for (uint32_t n : copy_->Missing()) {
-    bool under_way = origin_under_way_.contains(n);
-    for (auto& [id, fetch] : fetches_) under_way |= fetch->pieces.contains(n);
-    if (!under_way) open.push_back(n);
-  }
-  if (open.empty()) return;
-  PiecePlan plan = PlanPieces(View(), open);
-  origin_wanted_ = std::move(plan.from_origin);
-  // Agents of one zone begin at different pieces of the origin's.
-  for (auto& [id, pieces] : plan.from_members) {
-    const FleetMember* member = Member(id);
-    if (member != nullptr && !fetches_.contains(id)) {
-      FetchFromPeer(*member, pieces);
+  PieceView view = View();
+  for (uint32_t n : copy_->Missing()) plan_[n] = PlanPiece(view, n);
+  for (auto& [n, sources] : plan_) {
+    for (const std::string& id : sources.peers) {
+      const FleetMember* member = Member(id);
+      if (member != nullptr && !feeds_.contains(id)) Follow(*member);
     }
   }
+  FetchNext();
   FetchFromOrigin();
 }
 
-void WeightStager::FetchFromPeer(const FleetMember& member,
-                                 const std::vector<uint32_t>& pieces) {
-  auto fetch = std::make_unique<PeerFetch>();
+void WeightStager::Follow(const FleetMember& member) {
   HttpRequest request;
-  request.target = PathOf(copy_->model(), copy_->version()) + "?pieces=";
-  for (uint32_t n : pieces) {
-    fetch->pieces.insert(n);
-    request.target += std::to_string(n) + ".";
-  }
+  request.target = PathOf(copy_->model(), copy_->version()) + "?feed=1";
   CallOptions options;
+  options.fresh_connection = true;
   CallEvents events;
   std::string id = member.id;
-  events.on_data = [this, id](std::string_view bytes) {
-    TakePeerBytes(id, bytes);
+  events.on_data = [this, id](std::string_view bytes) { TakeFeed(id, bytes); };
+  events.on_end = [this, id](const CallResult&) {
+    feeds_.erase(id);
+    Avoid(id, "feed ended");
   };
-  events.on_end = [this, id](CallResult result) {
-    bool served = result.end == CallEnd::kComplete && result.head &&
-                  result.head->status == 200;
-    EndPeerFetch(id, served);
+  auto feed = std::make_unique<Feed>();
+  feed->call = client_->Send(PeerEndpoint(settings_, member.upstream.ip),
+                             request, options, std::move(events));
+  feeds_[id] = std::move(feed);
+}
+
+void WeightStager::TakeFeed(const std::string& id, std::string_view bytes) {
+  Feed* feed = feeds_[id].get();
+  feed->buf.append(bytes);
+  std::string_view rest = feed->buf;
+  for (; rest.size() >= kNumberBytes; rest.remove_prefix(kNumberBytes)) {
+    feed->pieces.insert(ReadU32(rest));
+  }
+  feed->buf.erase(0, feed->buf.size() - rest.size());
+  FetchNext();
+}
+
+std::string WeightStager::SourceOf(uint32_t n) const {
+  auto planned = plan_.find(n);
+  if (planned == plan_.end()) return "";
+  SteadyTime now = EventLoop::Now();
+  std::string out;
+  size_t least = SIZE_MAX;
+  for (const std::string& id : planned->second.peers) {
+    auto it = feeds_.find(id);
+    if (it == feeds_.end() || !it->second->pieces.contains(n)) continue;
+    if (it->second->busy_until > now) continue;
+    size_t load = 0;
+    for (auto& [piece, fetch] : fetches_) load += fetch->source == id ? 1 : 0;
+    if (load >= least) continue;
+    least = load;
+    out = id;
+  }
+  return out;
+}
+
+void WeightStager::FetchNext() {
+  SteadyTime now = EventLoop::Now();
+  if (!fetch_pacer_.MayStart(now)) return;
+  std::vector<std::pair<uint32_t, std::string>> ready;
+  for (auto& [n, sources] : plan_) {
+    if (copy_->Has(n) || fetches_.contains(n)) continue;
+    std::string source = SourceOf(n);
+    if (!source.empty()) ready.emplace_back(n, source);
+  }
+  // Agents that ask for the same pieces in the same order would have nothing
+  // for each other.
+  std::shuffle(ready.begin(), ready.end(), random_);
+  for (auto& [n, source] : ready) {
+    if (!fetch_pacer_.MayStart(now)) return;
+    const FleetMember* member = Member(source);
+    if (member != nullptr) FetchFromPeer(*member, n);
+  }
+}
+
+void WeightStager::FetchFromPeer(const FleetMember& member, uint32_t n) {
+  HttpRequest request;
+  request.target = PathOf(copy_->model(), copy_->version()) +
+                   "?piece=" + std::to_string(n);
+  CallOptions options;
+  options.timeout = kStall;
+  CallEvents events;
+  events.on_end = [this, n, generation = generation_](CallResult result) {
+    if (generation == generation_) EndFetch(n, result);
   };
+  auto fetch = std::make_unique<Fetch>();
+  fetch->source = member.id;
+  fetch_pacer_.OnStart();
   fetch->call = client_->Send(PeerEndpoint(settings_, member.upstream.ip),
                               request, options, std::move(events));
-  fetches_[id] = std::move(fetch);
-}
-
-void WeightStager::TakePeerBytes(const std::string& id,
-                                 std::string_view bytes) {
-  auto it = fetches_.find(id);
-  if (it == fetches_.end()) return;
-  PeerFetch* fetch = it->second.get();
-  fetch->heard = EventLoop::Now();
-  fetch->buf.append(bytes);
-  while (fetch->buf.size() >= kFrameHeadBytes) {
-    std::string_view buf = fetch->buf;
-    uint32_t n = ReadU32(buf);
-    uint32_t size = ReadU32(buf.substr(4));
-    if (size > kMaxPieceBytes) return EndPeerFetch(id, false);
-    if (buf.size() < kFrameHeadBytes + size) return;
-    std::string piece(buf.substr(kFrameHeadBytes, size));
-    fetch->buf.erase(0, kFrameHeadBytes + size);
-    fetch->pieces.erase(n);
-    AddPiece(n, std::move(piece), &counters_.peer_bytes);
-  }
-}
-
-void WeightStager::EndPeerFetch(const std::string& id, bool delivered) {
-  auto it = fetches_.find(id);
-  if (it == fetches_.end()) return;
-  bool missing = !it->second->pieces.empty();
-  // Destroyed from a fresh stack: this may run within its call's callback.
-  std::shared_ptr<PeerFetch> ended = std::move(it->second);
-  fetches_.erase(it);
-  loop_->Post([ended] {});
-  if (!delivered || missing) {
-    avoided_until_[id] = EventLoop::Now() + kAvoidFor;
-    PC_INFO(kWeights, "event=peer_fetch_ended peer="
-                          << id << " version=" << copy_->version()
-                          << " missing=" << ended->pieces.size());
+  fetches_[n] = std::move(fetch);
+}
+
+void WeightStager::EndFetch(uint32_t n, const CallResult& result) {
+  constexpr int kBusyStatus = 503;
+  SteadyTime now = EventLoop::Now();
+  auto fetch = std::move(fetches_[n]);
+  fetches_.erase(n);
+  auto took =
+      std::chrono::duration_cast<Milliseconds>(now - fetch->begun);
+  bool whole = result.end == CallEnd::kComplete && result.head->status == 200;
+  bool busy =
+      result.end == CallEnd::kComplete && result.head->status == kBusyStatus;
+  fetch_pacer_.OnEnd(busy ? Milliseconds(0) : took, now);
+  auto feed = feeds_.find(fetch->source);
+  if (busy && feed != feeds_.end()) {
+    feed->second->busy_until = now + kBusyPause;
+  } else if (!whole) {
+    Avoid(fetch->source, "no piece");
   }
-  Plan();
+  if (whole) AddPiece(n, result.body, &counters_.peer_bytes);
+  FetchNext();
+  fetch_timer_ = loop_->After(kFetchPause, [this] { FetchNext(); });
+}
+
+void WeightStager::Avoid(const std::string& id, const char* why) {
+  avoided_until_[id] = EventLoop::Now() + kAvoidFor;
+  PC_INFO(kWeights, "event=peer_avoided peer=" << id << " why=\"" << why
+                                               << "\" version="
+                                               << copy_->version() << " held="
+                                               << copy_->held_count());
 }
 
 void WeightStager::FetchFromOrigin() {
-  while (origin_under_way_.size() < kOriginAtOnce && !origin_wanted_.empty()) {
-    uint32_t n = origin_wanted_.back();
-    origin_wanted_.pop_back();
-    if (copy_->Has(n) || !origin_under_way_.insert(n).second) continue;
+  for (auto& [n, sources] : plan_) {
+    if (origin_under_way_.size() >= kOriginAtOnce) return;
+    if (!sources.origin || copy_->Has(n)) continue;
+    if (!origin_under_way_.insert(n).second) continue;
     origin_.Piece(notice_->origin, copy_->model(), copy_->version(), n,
-                  [this, n, generation = generation_](
+                  [this, n = n, generation = generation_](
                       Result<std::string> bytes) {
                     if (generation != generation_) return;
                     origin_under_way_.erase(n);
@@ -363,7 +426,7 @@
                                                      << " piece=" << n);
     return;
   }
-  FeedWaiters(n);
+  TellListeners(n);
   to_stage_.insert(n);
   StageNext();
   if (!copy_->complete()) return;
@@ -463,18 +526,10 @@
   engine_->OrderLoad(copy_->model(), copy_->version(), done);
 }
 
-void WeightStager::CheckStalls() {
-  SteadyTime now = EventLoop::Now();
-  std::vector<std::string> stalled;
-  for (auto& [id, fetch] : fetches_) {
-    if (now - fetch->heard > kStall) stalled.push_back(id);
-  }
-  for (const std::string& id : stalled) {
-    ++counters_.stalls;
-    EndPeerFetch(id, false);
-  }
+void WeightStager::Refresh() {
   if (copy_ != nullptr && !copy_->complete()) Plan();
-  std::erase_if(waiters_, [](auto& it) { return it->exchange->finished(); });
+  if (copy_ != nullptr && copy_->complete()) feeds_.clear();
+  std::erase_if(listeners_, [](auto& it) { return it.exchange->finished(); });
 }
 
 WeightCopy* WeightStager::CopyOf(uint64_t version) {
@@ -491,9 +546,13 @@
   if (!version || parts[1] != kPathRoot) {
     return exchange->Reply(404, "Not Found", {}, "");
   }
-  auto numbers = exchange->request().QueryValue("pieces");
-  if (!numbers) return ServeManifest(exchange, *version);
-  ServePieces(exchange, *version, *numbers);
+  if (exchange->request().QueryValue("feed")) {
+    return ServeFeed(exchange, *version);
+  }
+  auto piece = exchange->request().QueryValue("piece");
+  if (!piece) return ServeManifest(exchange, *version);
+  auto n = ParseU64(*piece);
+  ServePiece(exchange, *version, static_cast<uint32_t>(n.value_or(UINT32_MAX)));
 }
 
 void WeightStager::ServeManifest(
@@ -510,38 +569,64 @@
   exchange->Reply(200, "OK", {}, body);
 }
 
-void WeightStager::ServePieces(const std::shared_ptr<Http1Exchange>& exchange,
-                               uint64_t version, const std::string& numbers) {
-  bool older = copy_ != nullptr && version < copy_->version();
+void WeightStager::ServeFeed(const std::shared_ptr<Http1Exchange>& exchange,
+                             uint64_t version) {
   WeightCopy* copy = CopyOf(version);
-  if (older && copy == nullptr) {
+  if (copy == nullptr && copy_ != nullptr && version < copy_->version()) {
     return exchange->Reply(404, "Not Found", {}, "");
   }
-  auto waiter = std::make_shared<Waiter>();
-  waiter->exchange = exchange;
-  waiter->version = version;
   exchange->StartStream(200, "OK", {});
-  for (const std::string& it : Split(numbers, '.')) {
-    auto n = ParseU64(it);
-    if (!n) continue;
-    auto number = static_cast<uint32_t>(*n);
-    if (copy != nullptr && copy->Has(number)) {
-      counters_.sent_bytes += copy->Piece(number).size();
-      exchange->Write(FrameOf(*copy, number));
-    } else {
-      waiter->pieces.insert(number);
-    }
+  std::string numbers;
+  for (uint32_t n = 0; copy != nullptr && n < copy->size(); ++n) {
+    if (copy->Has(n)) AppendU32(&numbers, n);
+  }
+  exchange->Write(numbers);
+  listeners_.push_back({exchange, version});
+}
+
+void WeightStager::TellListeners(uint32_t n) {
+  std::string number;
+  AppendU32(&number, n);
+  for (Listener& it : listeners_) {
+    if (it.version == copy_->version()) it.exchange->Write(number);
   }
-  if (waiter->pieces.empty()) return exchange->EndStream();
-  waiters_.push_back(std::move(waiter));
 }
 
-void WeightStager::FeedWaiters(uint32_t n) {
-  for (auto& it : waiters_) {
-    if (it->version != copy_->version() || it->pieces.erase(n) == 0) continue;
-    counters_.sent_bytes += copy_->Piece(n).size();
-    it->exchange->Write(FrameOf(*copy_, n));
-    if (it->pieces.empty()) it->exchange->EndStream();
+void WeightStager::ServePiece(const std::shared_ptr<Http1Exchange>& exchange,
+                              uint64_t version, uint32_t n) {
+  WeightCopy* copy = CopyOf(version);
+  if (copy == nullptr || !copy->Has(n)) {
+    return exchange->Reply(404, "Not Found", {}, "");
+  }
+  // Others may have it too, and sooner.
+  if (uploads_.size() >= kMaxUploadsWaiting) {
+    return exchange->Reply(503, "Service Unavailable", {}, "");
+  }
+  uploads_.push_back({exchange, version, n});
+  SendNextUpload();
+}
+
+void WeightStager::SendNextUpload() {
+  while (!uploads_.empty()) {
+    const Upload& next = uploads_.front();
+    WeightCopy* copy = CopyOf(next.version);
+    if (copy == nullptr || next.exchange->finished()) {
+      next.exchange->Reply(404, "Not Found", {}, "");
+      uploads_.pop_front();
+      continue;
+    }
+    std::string_view piece = copy->Piece(next.piece);
+    SteadyTime now = EventLoop::Now();
+    if (!upload_pacer_.TrySend(piece.size(), now)) {
+      upload_timer_ =
+          loop_->After(std::max(upload_pacer_.Wait(piece.size(), now),
+                                Milliseconds(1)),
+                       [this] { SendNextUpload(); });
+      return;
+    }
+    counters_.sent_bytes += piece.size();
+    next.exchange->Reply(200, "OK", {}, piece);
+    uploads_.pop_front();
   }
 }
 
--- a/Source/Core/Agent/weight_stager.h
+++ b/Source/Core/Agent/weight_stager.h
@@ -3,9 +3,11 @@
 // and orders the engine to load them.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -13,6 +15,7 @@
 #include "Core/Fleet/fleet_messages.h"
 #include "Core/Fleet/load_order.h"
 #include "Core/Fleet/piece_planner.h"
+#include "Core/Fleet/transfer_pacing.h"
 #include "Core/Fleet/weight_copy.h"
 #include "Core/Net/http1_calls.h"
 #include "Core/Net/http1_server.h"
@@ -26,7 +29,6 @@
   uint64_t peer_bytes = 0;
   uint64_t sent_bytes = 0;
   uint64_t corrupt_pieces = 0;
-  uint64_t stalls = 0;
   uint64_t orders = 0;
 };
 
@@ -49,8 +51,10 @@
   const StagerCounters& counters() const { return counters_; }
 
  private:
-  struct PeerFetch;
-  struct Waiter;
+  struct Feed;
+  struct Fetch;
+  struct Upload;
+  struct Listener;
 
   PieceView View();
   Milliseconds NamedAge() const;
@@ -62,14 +66,18 @@
   void ReadLocal();
   void TakeLocal(uint32_t n, Result<std::string> bytes);
   void Plan();
-  void FetchFromPeer(const FleetMember& member,
-                     const std::vector<uint32_t>& pieces);
-  void TakePeerBytes(const std::string& id, std::string_view bytes);
-  void EndPeerFetch(const std::string& id, bool delivered);
+  void Follow(const FleetMember& member);
+  void TakeFeed(const std::string& id, std::string_view bytes);
+  void FetchNext();
+  std::string SourceOf(uint32_t n) const;
+  void FetchFromPeer(const FleetMember& member, uint32_t n);
+  void EndFetch(uint32_t n, const CallResult& result);
   void FetchFromOrigin();
+  void Avoid(const std::string& id, const char* why);
   void AddPiece(uint32_t n, std::string bytes, uint64_t* counter);
-  void FeedWaiters(uint32_t n);
-  void CheckStalls();
+  void TellListeners(uint32_t n);
+  void SendNextUpload();
+  void Refresh();
   void StageNext();
   void Verify();
   void VerifyNext();
@@ -78,8 +86,10 @@
   WeightCopy* CopyOf(uint64_t version);
   void ServeManifest(const std::shared_ptr<Http1Exchange>& exchange,
                      uint64_t version);
-  void ServePieces(const std::shared_ptr<Http1Exchange>& exchange,
-                   uint64_t version, const std::string& numbers);
+  void ServeFeed(const std::shared_ptr<Http1Exchange>& exchange,
+                 uint64_t version);
+  void ServePiece(const std::shared_ptr<Http1Exchange>& exchange,
+                  uint64_t version, uint32_t n);
 
   EventLoop* loop_;
   Http1Client* client_;
@@ -100,12 +110,18 @@
   uint32_t local_next_ = 0;
   uint32_t local_pending_ = 0;
   uint32_t local_absent_ = 0;
-  std::map<std::string, std::unique_ptr<PeerFetch>> fetches_;
-  std::vector<uint32_t> origin_wanted_;
+  /// Which pieces each peer has, as it tells on a connection kept for that.
+  std::map<std::string, std::unique_ptr<Feed>> feeds_;
+  std::map<uint32_t, std::unique_ptr<Fetch>> fetches_;  ///< By piece.
+  std::map<uint32_t, PieceSources> plan_;               ///< Of missing pieces.
+  FetchPacer fetch_pacer_;
+  UploadPacer upload_pacer_;
+  std::deque<Upload> uploads_;
+  std::vector<Listener> listeners_;
+  std::minstd_rand random_;
   std::set<uint32_t> origin_under_way_;
   std::map<std::string, SteadyTime> avoided_until_;
   std::set<std::string> avoided_;
-  std::vector<std::shared_ptr<Waiter>> waiters_;
   std::set<uint32_t> to_stage_;
   uint32_t staging_ = 0;
   bool verifying_ = false;
@@ -118,8 +134,10 @@
   /// Changes with each target, so that late answers for an older one end.
   uint64_t generation_ = 0;
   StagerCounters counters_;
-  Timer stall_timer_;
+  Timer refresh_timer_;
   Timer retry_timer_;
+  Timer fetch_timer_;
+  Timer upload_timer_;
 };
 
 }  // namespace primrosecove
--- a/Source/Core/Fleet/deployment.h
+++ b/Source/Core/Fleet/deployment.h
@@ -189,6 +189,7 @@
   Endpoint store;
   uint64_t memory_bytes = 0;
   size_t max_descriptors = 0;
+  double link_bytes_per_second = 0;  ///< Of this host, each way.
   Milliseconds heartbeat{1200};  ///< Between two registrations of an upstream.
   FleetBounds bounds;
 };
--- a/Source/Core/Fleet/piece_planner.cc
+++ b/Source/Core/Fleet/piece_planner.cc
@@ -51,45 +51,45 @@
   return out;
 }
 
-// The source of one piece; null for the origin.
-const FleetMember* SourceOf(const Sources& sources, const PieceView& view,
-                            const std::string& item) {
-  if (!sources.zone_holders.empty()) {
-    // Each agent spreads its own requests over the holders.
-    return Best(sources.zone_holders, item + view.self);
-  }
-  const FleetMember* importer = Best(sources.zone_members, item);
-  if (importer != nullptr && importer->id != view.self) return importer;
-  if (!sources.other_holders.empty()) {
-    return Best(sources.other_holders, item + view.self);
+void Append(const Members& members, const std::string& self,
+            std::vector<std::string>* out) {
+  for (const FleetMember* it : members) {
+    if (it->id != self) out->push_back(it->id);
   }
-  const FleetMember* drawer = Best(sources.all, item);
-  if (drawer != nullptr && drawer->id != view.self) return drawer;
-  return nullptr;
+}
+
+std::string ItemOf(const PieceView& view) {
+  return view.model + "/" + std::to_string(view.version);
 }
 
 }  // namespace
 
-PiecePlan PlanPieces(const PieceView& view, std::span<const uint32_t> missing) {
+PieceSources PlanPiece(const PieceView& view, uint32_t n) {
   Sources sources = Sort(view);
-  std::string prefix = view.model + "/" + std::to_string(view.version) + "/";
-  PiecePlan out;
-  for (uint32_t n : missing) {
-    const FleetMember* source =
-        SourceOf(sources, view, prefix + std::to_string(n));
-    if (source == nullptr) {
-      out.from_origin.push_back(n);
-    } else {
-      out.from_members[source->id].push_back(n);
-    }
+  std::string item = ItemOf(view) + "/" + std::to_string(n);
+  PieceSources out;
+  if (!sources.zone_holders.empty()) {
+    Append(sources.zone_holders, view.self, &out.peers);
+    Append(sources.zone_members, view.self, &out.peers);
+    return out;
+  }
+  const FleetMember* importer = Best(sources.zone_members, item);
+  if (importer == nullptr || importer->id != view.self) {
+    Append(sources.zone_members, view.self, &out.peers);
+    return out;
   }
+  if (!sources.other_holders.empty()) {
+    Append(sources.other_holders, view.self, &out.peers);
+    return out;
+  }
+  const FleetMember* drawer = Best(sources.all, item);
+  out.origin = drawer == nullptr || drawer->id == view.self;
+  if (!out.origin) out.peers.push_back(drawer->id);
   return out;
 }
 
 std::string ManifestFetcher(const PieceView& view) {
-  Sources sources = Sort(view);
-  const FleetMember* best =
-      Best(sources.all, view.model + "/" + std::to_string(view.version));
+  const FleetMember* best = Best(Sort(view).all, ItemOf(view));
   return best == nullptr ? "" : best->id;
 }
 
--- a/Source/Core/Fleet/piece_planner.h
+++ b/Source/Core/Fleet/piece_planner.h
@@ -2,7 +2,6 @@
 // between agents: equal views give fitting answers.
 #pragma once
 
-#include <map>
 #include <set>
 #include <span>
 #include <string>
@@ -22,17 +21,17 @@
   const std::set<std::string>* avoided = nullptr;
 };
 
-/// Pieces to fetch, by source.
-struct PiecePlan {
-  std::map<std::string, std::vector<uint32_t>> from_members;  ///< By id.
-  std::vector<uint32_t> from_origin;
+/// Where one missing piece may come from.
+struct PieceSources {
+  bool origin = false;             ///< This agent draws it.
+  std::vector<std::string> peers;  ///< Ids, the preferred ones first.
 };
 
-/// Plans all of `missing`. Members of the own zone that serve the version go
-/// first. Else one member of each zone brings a piece into it, and one member
-/// of all draws it from the origin, each by rendezvous hash, so that a piece
-/// leaves the origin once and enters each zone once. Thread safe.
-PiecePlan PlanPieces(const PieceView& view, std::span<const uint32_t> missing);
+/// Plans one piece. Members of the own zone are its sources; without one that
+/// serves the version, one of the zone brings the piece into it from another
+/// zone, and one member of all draws it from the origin, each by rendezvous
+/// hash: a piece leaves the origin once and enters each zone once. Thread safe.
+PieceSources PlanPiece(const PieceView& view, uint32_t n);
 
 /// The member that draws the manifest from the origin for all others, or an
 /// empty id. Thread safe.
