--- a/Source/Core/Agent/fleet_agent.cc
+++ b/Source/Core/Agent/fleet_agent.cc
@@ -73,6 +73,11 @@
 }
 
 Result<void> FleetAgent::Start() {
+  // Routers should send nothing more to an engine that takes nothing.
+  stager_->OnLoading([this] {
+    status_.loading = true;
+    SendStatus();
+  });
   pieces_ = std::make_unique<Http1Server>(
       &loop_, kPeerLimits,
       [this](const std::shared_ptr<Http1Exchange>& exchange) {
--- a/Source/Core/Agent/weight_stager.cc
+++ b/Source/Core/Agent/weight_stager.cc
@@ -171,6 +171,7 @@
   manifest_under_way_ = false;
   manifest_tries_ = 0;
   staged_version_ = 0;
+  completed_age_ = Milliseconds(0);
   local_pending_ = 0;
   for (Listener& it : listeners_) {
     if (it.version < version) it.exchange->EndStream();
@@ -430,6 +431,7 @@
   to_stage_.insert(n);
   StageNext();
   if (!copy_->complete()) return;
+  completed_age_ = NamedAge();
   PC_INFO(kWeights, "event=copy_complete version="
                         << copy_->version() << " named_age_ms="
                         << NamedAge().count() << " origin_bytes="
@@ -465,11 +467,12 @@
   situation.target_version = copy_->version();
   situation.whole_version = whole;
   situation.loading = report.loading;
+  situation.idle = report.running == 0 && report.waiting == 0;
   situation.copy_complete =
       copy_->complete() && to_stage_.empty() && staging_ == 0;
   situation.named_age = NamedAge();
+  situation.completed_age = completed_age_;
   situation.version_bound = Milliseconds(notice_->version_bound_ms);
-  situation.warm_up = Milliseconds(notice_->warm_up_ms);
   situation.turn = SwapTurn(*notice_, self_);
   if (!ShouldLoad(situation) || verifying_ || order_under_way_) return;
   if (EventLoop::Now() - ordered_at_ < kOrderAgain) return;
@@ -518,6 +521,7 @@
   ++counters_.orders;
   auto done = [this, version = copy_->version()](platform::OrderAnswer answer) {
     order_under_way_ = false;
+    if (answer == platform::OrderAnswer::kBegun && on_loading_) on_loading_();
     PC_INFO(kRollout, "event=load_ordered version="
                           << version << " answer="
                           << static_cast<int>(answer)
--- a/Source/Core/Agent/weight_stager.h
+++ b/Source/Core/Agent/weight_stager.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -48,6 +49,10 @@
   void Serve(const std::shared_ptr<Http1Exchange>& exchange);
   /// The version whose verified copy lies at the engine, or 0.
   uint64_t staged_version() const { return staged_version_; }
+  /// Calls `callback` whenever the engine has taken an order to load.
+  void OnLoading(std::function<void()> callback) {
+    on_loading_ = std::move(callback);
+  }
   const StagerCounters& counters() const { return counters_; }
 
  private:
@@ -129,6 +134,8 @@
   uint32_t verify_pending_ = 0;
   uint32_t verify_bad_ = 0;
   uint64_t staged_version_ = 0;
+  Milliseconds completed_age_{0};  ///< Of the version's name, at completion.
+  std::function<void()> on_loading_;
   SteadyTime ordered_at_;
   bool order_under_way_ = false;
   /// Changes with each target, so that late answers for an older one end.
--- a/Source/Core/Fleet/load_order.cc
+++ b/Source/Core/Fleet/load_order.cc
@@ -7,10 +7,8 @@
 namespace primrosecove {
 namespace {
 
-// The usual time in which an engine's running requests end once it takes no
-// more; the longest answers take about as long.
-constexpr Milliseconds kUsualDrain{2500};
-// Routers begin nothing on older weights this long before the bound.
+// Routers begin nothing on older weights about this long before the bound; an
+// engine that still serves older ones then is of no use until it has loaded.
 constexpr Milliseconds kRouterMargin{1500};
 
 }  // namespace
@@ -19,12 +17,12 @@
   if (situation.target_version == 0 || !situation.copy_complete) return false;
   if (situation.loading) return false;
   if (situation.whole_version >= situation.target_version) return false;
-  if (situation.whole_version == 0) return true;
-  Milliseconds slack = situation.version_bound - kRouterMargin - kUsualDrain -
-                       situation.warm_up;
-  auto wait = std::chrono::duration_cast<Milliseconds>(
-      std::max(slack, Milliseconds(0)) * situation.turn);
-  return situation.named_age >= wait;
+  if (situation.whole_version == 0 || situation.idle) return true;
+  Milliseconds last = situation.version_bound - kRouterMargin;
+  Milliseconds slack =
+      std::max(last - situation.completed_age, Milliseconds(0));
+  auto wait = std::chrono::duration_cast<Milliseconds>(slack * situation.turn);
+  return situation.named_age >= situation.completed_age + wait;
 }
 
 double SwapTurn(const FleetNotice& notice, const std::string& self) {
--- a/Source/Core/Fleet/transfer_pacing.cc
+++ b/Source/Core/Fleet/transfer_pacing.cc
@@ -5,15 +5,16 @@
 namespace primrosecove {
 namespace {
 
-// Two pieces keep a link of a few Mbit/s busy across the network's delay.
-constexpr size_t kMostUnderWay = 2;
+// Each piece passes the queues of two links and a pause at its source, so that
+// this many keep a link of a few Mbit/s busy.
+constexpr size_t kMostUnderWay = 4;
 // A piece that takes longer than this met a narrowed link or a busy source.
-constexpr Milliseconds kSlowPiece{160};
+constexpr Milliseconds kSlowPiece{250};
 // After a slow piece the link is left to callers for as long again, at most
 // this.
 constexpr Milliseconds kLongestPause{400};
 // Of a link's rate; the rest is for the engine's answers.
-constexpr double kUploadShare = 0.85;
+constexpr double kUploadShare = 0.95;
 
 }  // namespace
 
--- a/Source/Core/Fleet/transfer_pacing.h
+++ b/Source/Core/Fleet/transfer_pacing.h
@@ -25,7 +25,7 @@
 
  private:
   size_t under_way_ = 0;
-  size_t most_ = 2;
+  size_t most_ = 4;
   SteadyTime not_before_{};
 };
 
--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -158,7 +158,10 @@
     if (upstream.record.service != service || upstream.record.leaving) continue;
     bool heard =
         upstream.status && now - upstream.status_at < kStatusLifetime;
-    if (heard && !upstream.status->reachable) continue;
+    // A loading engine takes nothing until its running requests have ended.
+    if (heard && (!upstream.status->reachable || upstream.status->loading)) {
+      continue;
+    }
     (now < upstream.ejected_until ? ejected : out).push_back(&upstream);
   }
   // Where all fail, the failures say more about the requests than about them.
