--- a/Source/Core/Membership/gossip.cc
+++ b/Source/Core/Membership/gossip.cc
@@ -205,12 +205,16 @@
   NotifyChanged();
 }
 
-// A process that has just started may find its predecessor's record with a
-// larger incarnation, when the clock was set back; one that runs for longer was
-// itself replaced.
+// Incarnations are start times. One that lies between this process's start and
+// now belongs to a process that was started after it and has replaced it. One
+// that lies in the future belongs to a predecessor, from before the clock was
+// set back, and is outbid.
 bool Gossip::IsSuperseded(const HostRecord& about_self) const {
-  bool is_newer = about_self.incarnation > self().incarnation;
-  return is_newer && EventLoop::Now() - started_ > options_.settle_time;
+  if (about_self.incarnation <= self().incarnation) return false;
+  auto running =
+      std::chrono::duration_cast<Milliseconds>(EventLoop::Now() - started_);
+  uint64_t ahead = about_self.incarnation - self().incarnation;
+  return ahead <= static_cast<uint64_t>(running.count());
 }
 
 // Others may hold this process for dead, suspect it, or know the one that it
--- a/Source/Core/Membership/gossip.h
+++ b/Source/Core/Membership/gossip.h
@@ -27,8 +27,6 @@
       4000};  ///< Then a suspect that has not refuted is dead.
   Milliseconds compare_period{5000};  ///< Between comparisons of whole views.
   Milliseconds forget_dead_after{600'000};
-  Milliseconds settle_time{
-      10'000};  ///< After the start, until a namesake is a newer process.
   size_t indirect_probes = 3;
   size_t max_datagram_bytes = 1200;  ///< Below the smallest usual path MTU.
   size_t head_fanout =
