Let streams end on upstreams that have left the list

Cause: a request counted its upstream as lost when its registration ended; upstreams that leave without saying so go on serving what they have. Ruled out: time-outs (the streams were 0.4 to 4 s old), the configuration change beside it. The end of a request now logs what its placement rested on.

--- a/Source/Core/Fleet/placement_policy.cc
+++ b/Source/Core/Fleet/placement_policy.cc
@@ -41,6 +41,7 @@
       if (cost >= best) continue;
       best = cost;
       out.upstream = it;
+      out.wait = Milliseconds(static_cast<int64_t>(wait));
     }
     if (out.upstream == nullptr && !candidates.empty()) {
       out.retry_after = std::max(
@@ -69,7 +70,7 @@
 
   static bool Fits(const FleetUpstream& upstream, const PlacementRequest& request,
                    double wait_ms) {
-    if (wait_ms <= 0) return true;
+    if (wait_ms <= 0 || request.begun) return true;
     double own = static_cast<double>(request.usual_time.count());
     if (request.service->engine) {
       const EngineProfile& engine = *request.service->engine;
--- a/Source/Core/Fleet/placement_policy.h
+++ b/Source/Core/Fleet/placement_policy.h
@@ -22,13 +22,18 @@
   int64_t prompt_tokens = 0;
   Milliseconds usual_time{0};  ///< Mean time from sending to the end.
   Milliseconds waited{0};      ///< Since the request's arrival.
+  /// Its caller has got a part of the answer, so that refusing it would waste
+  /// what was done.
+  bool begun = false;
 };
 
 /// The choice among candidates.
 struct Placement {
   FleetUpstream* upstream = nullptr;  ///< Null: none can serve in time.
+  Milliseconds wait{0};  ///< Expected in the upstream's queue.
   /// When an upstream should have room; set where none has.
   Milliseconds retry_after{0};
+  size_t candidates = 0;  ///< Upstreams that could be chosen from.
 };
 
 /// How upstreams are chosen; one instance a process, not thread safe.
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -19,6 +19,8 @@
 // An upstream that sends nothing to anybody for so long has stopped: an engine
 // with running requests sends events several times a second.
 constexpr Milliseconds kSilence{1100};
+// An upstream that has left the list is not watched any more.
+constexpr Milliseconds kSilenceOfLeaving{2000};
 // An idempotent request is sent again after this multiple of its service's
 // usual time, and not before kLeastPatience.
 constexpr double kPatience = 4;
@@ -137,8 +139,7 @@
   return out;
 }
 
-void FleetRequest::Dispatch() {
-  Moment now = state_->Now();
+Placement FleetRequest::Place(Moment now) {
   auto candidates = Candidates(now);
   PlacementRequest request;
   request.route = route_;
@@ -150,11 +151,18 @@
   request.usual_time = state_->MeanTime(
       service_->name,
       service_->engine ? kAssumedEngineTime : kAssumedPlainTime);
-  // A request that goes on elsewhere has been admitted before.
-  request.waited = events_ > 0 ? Milliseconds(0) : now - arrival_;
-  Placement placement = state_->policy->Choose(candidates, request, now);
-  if (placement.upstream != nullptr) return Send(placement.upstream);
-  GiveUp(candidates.empty() ? "no upstream" : "all full",
+  request.waited = now - arrival_;
+  request.begun = events_ > 0;
+  Placement out = state_->policy->Choose(candidates, request, now);
+  out.candidates = candidates.size();
+  return out;
+}
+
+void FleetRequest::Dispatch() {
+  Moment now = state_->Now();
+  Placement placement = Place(now);
+  if (placement.upstream != nullptr) return Send(placement);
+  GiveUp(placement.candidates == 0 ? "no upstream" : "all full",
          placement.retry_after);
 }
 
@@ -168,9 +176,14 @@
   Refuse(why, retry_after + spread);
 }
 
-void FleetRequest::Send(FleetUpstream* upstream) {
+void FleetRequest::Send(const Placement& placement) {
   Moment now = state_->Now();
+  FleetUpstream* upstream = placement.upstream;
+  decided_load_ = upstream->ExpectedLoad(now);
+  decided_wait_ = placement.wait;
+  decided_report_age_ = now - upstream->reported_at;
   upstream_id_ = upstream->record.id;
+  last_upstream_ = upstream_id_;
   tried_.insert(upstream_id_);
   UpstreamFields fields;
   fields.deadline = std::max(TimeLeft(), Milliseconds(1));
@@ -213,6 +226,7 @@
   };
   ++attempts_;
   sent_at_ = now;
+  heard_at_ = now;
   streaming_ = false;
   body_.clear();
   framer_.Reset();
@@ -246,6 +260,7 @@
 }
 
 void FleetRequest::TakeData(std::string_view bytes) {
+  heard_at_ = state_->Now();
   state_->registry.OnProgress(upstream_id_, state_->Now());
   if (!streaming_) {
     body_.append(bytes);
@@ -345,7 +360,7 @@
   if (fate_ == Fate::kMayHaveRun && !route_->Repeatable()) return false;
   if (TimeLeft() <= Milliseconds(0)) return false;
   // Without a place to go, nothing of the allowance is used.
-  if (Candidates(state_->Now()).empty()) return false;
+  if (Place(state_->Now()).upstream == nullptr) return false;
   if (!state_->AllowanceOf(service_->name).TryRepeat(state_->Now())) {
     return false;
   }
@@ -369,17 +384,18 @@
   if (ended_ || call_ == nullptr || !route_->Repeatable()) return;
   if (attempts_ >= route_->max_attempts) return;
   const FleetUpstream* upstream = state_->registry.Find(upstream_id_);
-  bool lost = upstream == nullptr;
-  const char* why = "upstream has gone";
-  if (!lost && upstream->status &&
-      now - upstream->status_at < UpstreamRegistry::kStatusLifetime) {
-    lost = !upstream->status->reachable;
-  }
-  if (!lost && service_->engine) {
-    Moment heard = std::max(upstream->last_progress, sent_at_);
-    lost = now - heard > kSilence;
-    why = "upstream is silent";
-  } else if (!lost && route_->kind == RequestKind::kIdempotent) {
+  bool lost = false;
+  const char* why = "upstream is silent";
+  if (upstream == nullptr) {
+    // One that has left the list goes on serving what it has.
+    lost = now - heard_at_ > kSilenceOfLeaving;
+  } else if (upstream->status && !upstream->status->reachable &&
+             now - upstream->status_at < UpstreamRegistry::kStatusLifetime) {
+    lost = true;
+    why = "upstream has gone";
+  } else if (service_->engine) {
+    lost = now - std::max(upstream->last_progress, sent_at_) > kSilence;
+  } else if (route_->kind == RequestKind::kIdempotent) {
     Milliseconds usual = state_->MeanTime(service_->name, kAssumedPlainTime);
     auto patience = std::max(
         kLeastPatience, Milliseconds(static_cast<int64_t>(
@@ -467,7 +483,10 @@
               << " ms=" << (now - arrival_).count() << " first_event_ms="
               << (events_ > 0 ? (first_event_at_ - arrival_).count() : -1)
               << " events=" << events_ << " attempts=" << attempts_
-              << " tried=" << (tried_.empty() ? "-" : *tried_.rbegin())
+              << " upstream=" << last_upstream_ << " load=" << decided_load_
+              << " wait_ms=" << decided_wait_.count()
+              << " report_age_ms=" << decided_report_age_.count()
+              << " prompt=" << fields_.prompt_tokens
               << " weights=" << weights_version_.value_or(0) << " config="
               << (routes_ == nullptr ? 0 : routes_->config().version)
               << " config_age_ms=" << (age ? age->count() : -1));
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -37,9 +37,10 @@
 
   bool Understand();
   bool CheckKey();
+  Placement Place(Moment now);
   void Dispatch();
   std::vector<FleetUpstream*> Candidates(Moment now);
-  void Send(FleetUpstream* upstream);
+  void Send(const Placement& placement);
   void TakeHead(const Http1Head& head);
   void TakeData(std::string_view bytes);
   void TakeEvent(const StreamEvent& event);
@@ -73,7 +74,13 @@
 
   std::unique_ptr<Http1Call> call_;
   std::string upstream_id_;
+  std::string last_upstream_ = "-";
   Moment sent_at_{0};
+  Moment heard_at_{0};  // the last bytes of the attempt at work
+  // What the last choice of an upstream rested on, for the log.
+  int decided_load_ = 0;
+  Milliseconds decided_wait_{0};
+  Milliseconds decided_report_age_{0};
   std::set<std::string> tried_;
   int attempts_ = 0;     // upstreams that the request was sent to
   int unsent_ = 0;       // connections that could not be made
