--- a/Source/Core/Fleet/transfer_pacing.cc
+++ b/Source/Core/Fleet/transfer_pacing.cc
@@ -14,7 +14,7 @@
 // this.
 constexpr Milliseconds kLongestPause{400};
 // Of a link's rate; the rest is for the engine's answers.
-constexpr double kUploadShare = 0.95;
+constexpr double kUploadShare = 0.8;
 
 }  // namespace
 
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -277,8 +277,11 @@
     if (last && *event.id <= *last) return;
     last_event_ = event.id;
   }
+  Moment now = state_->Now();
+  if (events_ > 0) longest_pause_ = std::max(longest_pause_, now - event_at_);
+  event_at_ = now;
   if (events_++ == 0) {
-    first_event_at_ = state_->Now();
+    first_event_at_ = now;
     state_->first_event_seconds->Observe(
         static_cast<double>((first_event_at_ - arrival_).count()) / 1000);
   }
@@ -482,7 +485,8 @@
               << (route_ == nullptr ? "-" : route_->name)
               << " ms=" << (now - arrival_).count() << " first_event_ms="
               << (events_ > 0 ? (first_event_at_ - arrival_).count() : -1)
-              << " events=" << events_ << " attempts=" << attempts_
+              << " events=" << events_ << " longest_pause_ms="
+              << longest_pause_.count() << " attempts=" << attempts_
               << " upstream=" << last_upstream_ << " load=" << decided_load_
               << " wait_ms=" << decided_wait_.count()
               << " report_age_ms=" << decided_report_age_.count()
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -93,6 +93,8 @@
   std::optional<uint64_t> weights_version_;  // of the events passed on
   int events_ = 0;
   Moment first_event_at_{0};
+  Moment event_at_{0};  // the last event
+  Milliseconds longest_pause_{0};
   bool ended_ = false;
 };
 
