--- a/Source/Core/Agent/weight_stager.cc
+++ b/Source/Core/Agent/weight_stager.cc
@@ -31,6 +31,10 @@
 constexpr size_t kMaxUploadsWaiting = 3;
 // About the time in which a busy source sends a piece.
 constexpr Milliseconds kBusyPause{30};
+// Pieces are told together, to all who follow.
+constexpr Milliseconds kNewsDelay{25};
+// A piece that is in the zone for so long is asked for out of turn.
+constexpr Milliseconds kTurnPatience{500};
 // When to look again for a piece after a pause of the pacer.
 constexpr Milliseconds kFetchPause{40};
 
@@ -163,6 +167,9 @@
   fetches_.clear();
   feeds_.clear();
   plan_.clear();
+  seen_at_.clear();
+  news_.clear();
+  begun_at_ = EventLoop::Now();
   fetch_pacer_ = FetchPacer();
   origin_under_way_.clear();
   to_stage_.clear();
@@ -273,12 +280,15 @@
   plan_.clear();
   if (!copy_->has_digests() || local_pending_ > 0) return;
   PieceView view = View();
-  for (uint32_t n : copy_->Missing()) plan_[n] = PlanPiece(view, n);
-  for (auto& [n, sources] : plan_) {
-    for (const std::string& id : sources.peers) {
-      const FleetMember* member = Member(id);
-      if (member != nullptr && !feeds_.contains(id)) Follow(*member);
-    }
+  auto since_begin = std::chrono::duration_cast<Milliseconds>(
+      EventLoop::Now() - begun_at_);
+  for (uint32_t n : copy_->Missing()) {
+    plan_[n] = PlanPiece(view, n, since_begin);
+  }
+  for (const FleetMember& it : notice_->members) {
+    bool useful = !it.leaving || it.whole_version == copy_->version();
+    if (it.id == self_ || !useful || avoided_.contains(it.id)) continue;
+    if (!plan_.empty() && !feeds_.contains(it.id)) Follow(it);
   }
   FetchNext();
   FetchFromOrigin();
@@ -313,15 +323,15 @@
   FetchNext();
 }
 
-std::string WeightStager::SourceOf(uint32_t n) const {
-  auto planned = plan_.find(n);
-  if (planned == plan_.end()) return "";
+std::string WeightStager::LeastBusy(const std::vector<std::string>& peers,
+                                    uint32_t n, size_t* holders) const {
   SteadyTime now = EventLoop::Now();
   std::string out;
   size_t least = SIZE_MAX;
-  for (const std::string& id : planned->second.peers) {
+  for (const std::string& id : peers) {
     auto it = feeds_.find(id);
     if (it == feeds_.end() || !it->second->pieces.contains(n)) continue;
+    ++*holders;
     if (it->second->busy_until > now) continue;
     size_t load = 0;
     for (auto& [piece, fetch] : fetches_) load += fetch->source == id ? 1 : 0;
@@ -332,6 +342,22 @@
   return out;
 }
 
+std::string WeightStager::SourceOf(uint32_t n) {
+  auto planned = plan_.find(n);
+  if (planned == plan_.end()) return "";
+  const PieceSources& sources = planned->second;
+  size_t holders = 0;
+  std::string near = LeastBusy(sources.zone_peers, n, &holders);
+  if (holders == 0) {
+    size_t far_holders = 0;
+    return LeastBusy(sources.far_peers, n, &far_holders);
+  }
+  SteadyTime now = EventLoop::Now();
+  SteadyTime seen = seen_at_.try_emplace(n, now).first->second;
+  bool turn = holders >= HoldersNeeded(sources.zone_rank);
+  return turn || now - seen > kTurnPatience ? near : "";
+}
+
 void WeightStager::FetchNext() {
   SteadyTime now = EventLoop::Now();
   if (!fetch_pacer_.MayStart(now)) return;
@@ -589,11 +615,14 @@
 }
 
 void WeightStager::TellListeners(uint32_t n) {
-  std::string number;
-  AppendU32(&number, n);
-  for (Listener& it : listeners_) {
-    if (it.version == copy_->version()) it.exchange->Write(number);
-  }
+  AppendU32(&news_, n);
+  if (news_timer_.pending()) return;
+  news_timer_ = loop_->After(kNewsDelay, [this] {
+    std::string news = std::exchange(news_, "");
+    for (Listener& it : listeners_) {
+      if (it.version == copy_->version()) it.exchange->Write(news);
+    }
+  });
 }
 
 void WeightStager::ServePiece(const std::shared_ptr<Http1Exchange>& exchange,
--- a/Source/Core/Agent/weight_stager.h
+++ b/Source/Core/Agent/weight_stager.h
@@ -74,7 +74,9 @@
   void Follow(const FleetMember& member);
   void TakeFeed(const std::string& id, std::string_view bytes);
   void FetchNext();
-  std::string SourceOf(uint32_t n) const;
+  std::string SourceOf(uint32_t n);
+  std::string LeastBusy(const std::vector<std::string>& peers, uint32_t n,
+                        size_t* holders) const;
   void FetchFromPeer(const FleetMember& member, uint32_t n);
   void EndFetch(uint32_t n, const CallResult& result);
   void FetchFromOrigin();
@@ -119,6 +121,9 @@
   std::map<std::string, std::unique_ptr<Feed>> feeds_;
   std::map<uint32_t, std::unique_ptr<Fetch>> fetches_;  ///< By piece.
   std::map<uint32_t, PieceSources> plan_;               ///< Of missing pieces.
+  std::map<uint32_t, SteadyTime> seen_at_;  ///< First in this zone.
+  SteadyTime begun_at_;
+  std::string news_;  ///< Pieces that followers are to be told of.
   FetchPacer fetch_pacer_;
   UploadPacer upload_pacer_;
   std::deque<Upload> uploads_;
@@ -144,6 +149,7 @@
   Timer refresh_timer_;
   Timer retry_timer_;
   Timer fetch_timer_;
+  Timer news_timer_;
   Timer upload_timer_;
 };
 
--- a/Source/Core/Fleet/piece_planner.cc
+++ b/Source/Core/Fleet/piece_planner.cc
@@ -7,6 +7,13 @@
 namespace primrosecove {
 namespace {
 
+// A copy takes about three seconds from an origin with the hosts' link rate. A
+// member whose piece has not come by then sits behind a narrowed link.
+constexpr Milliseconds kDrawPatience{2800};
+constexpr Milliseconds kDrawStep{300};
+// The next in a zone's rank brings a piece in itself after this time.
+constexpr Milliseconds kImportPatience{1800};
+
 using Members = std::vector<const FleetMember*>;
 
 // The member with the highest score for `item`, or null.
@@ -30,12 +37,16 @@
   Members all;           // including this agent
 };
 
-Sources Sort(const PieceView& view) {
-  Sources out;
-  std::string zone;
+std::string ZoneOf(const PieceView& view) {
   for (const FleetMember& it : view.members) {
-    if (it.id == view.self) zone = it.zone;
+    if (it.id == view.self) return it.zone;
   }
+  return "";
+}
+
+Sources Sort(const PieceView& view) {
+  Sources out;
+  std::string zone = ZoneOf(view);
   for (const FleetMember& it : view.members) {
     bool is_self = it.id == view.self;
     if (!is_self && view.avoided->contains(it.id)) continue;
@@ -51,6 +62,17 @@
   return out;
 }
 
+// How many of `members` have a higher score for `item` than `self`.
+size_t RankOf(const Members& members, const std::string& item,
+              const std::string& self) {
+  uint64_t own = RendezvousScore(item, self);
+  size_t out = 0;
+  for (const FleetMember* it : members) {
+    if (it->id != self && RendezvousScore(item, it->id) > own) ++out;
+  }
+  return out;
+}
+
 void Append(const Members& members, const std::string& self,
             std::vector<std::string>* out) {
   for (const FleetMember* it : members) {
@@ -64,30 +86,34 @@
 
 }  // namespace
 
-PieceSources PlanPiece(const PieceView& view, uint32_t n) {
+PieceSources PlanPiece(const PieceView& view, uint32_t n,
+                       Milliseconds since_begin) {
   Sources sources = Sort(view);
   std::string item = ItemOf(view) + "/" + std::to_string(n);
   PieceSources out;
-  if (!sources.zone_holders.empty()) {
-    Append(sources.zone_holders, view.self, &out.peers);
-    Append(sources.zone_members, view.self, &out.peers);
-    return out;
-  }
-  const FleetMember* importer = Best(sources.zone_members, item);
-  if (importer == nullptr || importer->id != view.self) {
-    Append(sources.zone_members, view.self, &out.peers);
-    return out;
+  Append(sources.zone_holders, view.self, &out.zone_peers);
+  Append(sources.zone_members, view.self, &out.zone_peers);
+  if (!sources.zone_holders.empty()) return out;
+  out.zone_rank = RankOf(sources.zone_members, item, view.self);
+  bool imports =
+      since_begin >= kImportPatience * static_cast<int>(out.zone_rank);
+  if (!imports) return out;
+  for (const FleetMember* it : sources.other_holders) {
+    out.far_peers.push_back(it->id);
   }
-  if (!sources.other_holders.empty()) {
-    Append(sources.other_holders, view.self, &out.peers);
-    return out;
+  if (!out.far_peers.empty()) return out;
+  for (const FleetMember* it : sources.all) {
+    if (it->zone != ZoneOf(view)) out.far_peers.push_back(it->id);
   }
-  const FleetMember* drawer = Best(sources.all, item);
-  out.origin = drawer == nullptr || drawer->id == view.self;
-  if (!out.origin) out.peers.push_back(drawer->id);
+  size_t rank = RankOf(sources.all, item, view.self);
+  out.origin =
+      rank == 0 ||
+      since_begin >= kDrawPatience + kDrawStep * static_cast<int>(rank - 1);
   return out;
 }
 
+size_t HoldersNeeded(size_t zone_rank) { return (zone_rank + 1) / 2; }
+
 std::string ManifestFetcher(const PieceView& view) {
   const FleetMember* best = Best(Sort(view).all, ItemOf(view));
   return best == nullptr ? "" : best->id;
--- a/Source/Core/Fleet/piece_planner.h
+++ b/Source/Core/Fleet/piece_planner.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "Core/Fleet/deployment.h"
 #include "Core/Fleet/fleet_messages.h"
 
 namespace primrosecove {
@@ -23,15 +24,27 @@
 
 /// Where one missing piece may come from.
 struct PieceSources {
-  bool origin = false;             ///< This agent draws it.
-  std::vector<std::string> peers;  ///< Ids, the preferred ones first.
+  bool origin = false;  ///< This agent draws it.
+  std::vector<std::string> zone_peers;
+  std::vector<std::string> far_peers;  ///< Asked when no zone peer has it.
+  /// This agent's place among its zone's for this piece; those in front get it
+  /// first and hand it on.
+  size_t zone_rank = 0;
 };
 
 /// Plans one piece. Members of the own zone are its sources; without one that
 /// serves the version, one of the zone brings the piece into it from another
 /// zone, and one member of all draws it from the origin, each by rendezvous
-/// hash: a piece leaves the origin once and enters each zone once. Thread safe.
-PieceSources PlanPiece(const PieceView& view, uint32_t n);
+/// hash: a piece leaves the origin once and enters each zone once. The next in
+/// rank step in when `since_begin`, the time since the copy was begun, shows
+/// that those before them don't deliver. Thread safe.
+PieceSources PlanPiece(const PieceView& view, uint32_t n,
+                       Milliseconds since_begin);
+
+/// How many of the zone must be seen to have a piece before one of a given rank
+/// asks for it: each of them hands it on to two, so that no single link carries
+/// it to all. Thread safe.
+size_t HoldersNeeded(size_t zone_rank);
 
 /// The member that draws the manifest from the origin for all others, or an
 /// empty id. Thread safe.
--- a/Source/UnitTests/Fleet/piece_planner_test.cc
+++ b/Source/UnitTests/Fleet/piece_planner_test.cc
@@ -45,18 +45,15 @@
       int drawn = 0;
       std::map<std::string, int> imported;
       for (const FleetMember& self : members) {
-        PieceSources plan = PlanPiece(ViewOf(self.id, members, none), n);
-        REQUIRE((plan.origin || !plan.peers.empty()));
-        if (plan.origin) {
-          ++drawn;
-          ++imported[self.zone];
-          continue;
-        }
-        for (const FleetMember& it : members) {
-          if (it.id == plan.peers.front() && it.zone != self.zone) {
-            ++imported[self.zone];
-          }
-        }
+        PieceSources plan =
+            PlanPiece(ViewOf(self.id, members, none), n, Milliseconds(0));
+        bool has_source = plan.origin || !plan.zone_peers.empty() ||
+                          !plan.far_peers.empty();
+        REQUIRE(has_source);
+        drawn += plan.origin ? 1 : 0;
+        bool imports = plan.origin || !plan.far_peers.empty();
+        imported[self.zone] += imports ? 1 : 0;
+        REQUIRE(imports == (plan.zone_rank == 0));
       }
       REQUIRE(drawn == 1);
       for (auto& [zone, count] : imported) REQUIRE(count == 1);
@@ -70,9 +67,13 @@
   auto members = Fleet(3, 3, 2);
   members.push_back({"new", {}, "z1", 0, false});
   for (uint32_t n = 0; n < kPieces; ++n) {
-    PieceSources plan = PlanPiece(ViewOf("new", members, none), n);
+    PieceSources plan =
+        PlanPiece(ViewOf("new", members, none), n, Milliseconds(60'000));
     REQUIRE_FALSE(plan.origin);
-    for (const std::string& id : plan.peers) REQUIRE(id.starts_with("u1-"));
+    REQUIRE(plan.far_peers.empty());
+    for (const std::string& id : plan.zone_peers) {
+      REQUIRE(id.starts_with("u1-"));
+    }
   }
 }
 
@@ -80,9 +81,10 @@
   auto members = Fleet(2, 2, 1);
   std::set<std::string> all_others = {"u0-1", "u1-0", "u1-1"};
   for (uint32_t n = 0; n < kPieces; ++n) {
-    PieceSources plan = PlanPiece(ViewOf("u0-0", members, all_others), n);
+    PieceSources plan =
+        PlanPiece(ViewOf("u0-0", members, all_others), n, Milliseconds(0));
     REQUIRE(plan.origin);
-    REQUIRE(plan.peers.empty());
+    REQUIRE(plan.zone_peers.empty());
   }
 }
 
@@ -91,8 +93,40 @@
   auto members = Fleet(1, 3, 1);
   members[1].leaving = true;
   for (uint32_t n = 0; n < kPieces; ++n) {
-    PieceSources plan = PlanPiece(ViewOf("u0-0", members, none), n);
-    for (const std::string& id : plan.peers) REQUIRE(id != "u0-1");
+    PieceSources plan =
+        PlanPiece(ViewOf("u0-0", members, none), n, Milliseconds(0));
+    for (const std::string& id : plan.zone_peers) REQUIRE(id != "u0-1");
+  }
+}
+
+// The load: the member that should draw a piece sits behind a narrowed link.
+TEST_CASE("others draw a piece that does not come, one after the other") {
+  const std::set<std::string> none;
+  auto members = Fleet(3, 5, 1);
+  struct Row {
+    int64_t since_begin_ms;
+    int most_drawers;
+  };
+  int before = 0;
+  for (const Row& row : {Row{0, 1}, Row{2700, 1}, Row{3000, 2}, Row{4000, 6}}) {
+    INFO(row.since_begin_ms);
+    int drawers = 0;
+    for (const FleetMember& self : members) {
+      PieceSources plan = PlanPiece(ViewOf(self.id, members, none), 7,
+                                    Milliseconds(row.since_begin_ms));
+      drawers += plan.origin ? 1 : 0;
+    }
+    CHECK(drawers >= before);
+    CHECK(drawers <= row.most_drawers);
+    before = drawers;
+  }
+  CHECK(before > 1);
+}
+
+TEST_CASE("each holder hands a piece on to two others") {
+  const size_t needed[] = {0, 1, 1, 2, 2, 3};
+  for (size_t rank = 0; rank < std::size(needed); ++rank) {
+    CHECK(HoldersNeeded(rank) == needed[rank]);
   }
 }
 
