--- a/Source/Core/Agent/fleet_agent.cc
+++ b/Source/Core/Agent/fleet_agent.cc
@@ -27,13 +27,13 @@
 
 }  // namespace
 
-FleetAgent::FleetAgent(std::string settings_path, HostSettings settings)
-    : settings_path_(std::move(settings_path)),
-      settings_(std::move(settings)),
-      client_(std::make_unique<Http1Client>(&loop_)),
+FleetAgent::FleetAgent(EventLoop* loop, HostSettings settings)
+    : settings_(std::move(settings)),
+      loop_(loop),
+      client_(std::make_unique<Http1Client>(loop_)),
       engine_(std::make_unique<platform::EngineLink>(client_.get(),
                                                      settings_.upstream)),
-      stager_(std::make_unique<WeightStager>(&loop_, client_.get(),
+      stager_(std::make_unique<WeightStager>(loop_, client_.get(),
                                              engine_.get(), settings_)),
       last_sent_at_(EventLoop::Now() - kStatusPeriod) {
   status_.upstream = settings_.upstream;
@@ -79,28 +79,24 @@
     SendStatus();
   });
   pieces_ = std::make_unique<Http1Server>(
-      &loop_, kPeerLimits,
+      loop_, kPeerLimits,
       [this](const std::shared_ptr<Http1Exchange>& exchange) {
         stager_->Serve(exchange);
       });
   metrics_server_ = std::make_unique<Http1Server>(
-      &loop_, kPeerLimits, [this](const auto& exchange) {
+      loop_, kPeerLimits, [this](const auto& exchange) {
         exchange->Reply(200, "OK", {{"Content-Type", "text/plain"}},
                         metrics_.Render());
       });
   peers_ = std::make_unique<UdpSocket>(
-      &loop_, [this](std::string_view bytes, const Endpoint& from) {
+      loop_, [this](std::string_view bytes, const Endpoint& from) {
         TakeDatagram(bytes, from);
       });
   BOOST_OUTCOME_TRY(pieces_->Listen(PeerEndpoint(settings_, settings_.ip)));
   BOOST_OUTCOME_TRY(metrics_server_->Listen(MetricsEndpoint(settings_)));
   BOOST_OUTCOME_TRY(peers_->Bind(PeerEndpoint(settings_, settings_.ip)));
-  ask_timer_ = loop_.Every(kAskPeriod, [this] { AskEngine(); });
-  log_timer_ = loop_.Every(kLogFlushPeriod, [] { FlushLogs(); });
-  // Nothing is lost by leaving: peers take their pieces elsewhere.
-  loop_.OnSignal(SIGTERM, [this] { loop_.Stop(); });
-  loop_.OnSignal(SIGHUP, [] { PC_INFO(kMain, "event=reload role=agent"); });
-  signal(SIGPIPE, SIG_IGN);
+  ask_timer_ = loop_->Every(kAskPeriod, [this] { AskEngine(); });
+  log_timer_ = loop_->Every(kLogFlushPeriod, [] { FlushLogs(); });
   PC_INFO(kMain, "event=start role=agent name="
                      << settings_.name << " zone=" << settings_.zone
                      << " engine=" << settings_.upstream.ToString());
@@ -108,7 +104,12 @@
 }
 
 int FleetAgent::Run() {
-  loop_.Run();
+  signal(SIGPIPE, SIG_IGN);
+  // Nothing is lost by leaving: peers take their pieces elsewhere.
+  loop_->OnSignal(SIGTERM, [this] { loop_->Stop(); });
+  // Its addresses are fixed for its life; nothing else of the file is used.
+  loop_->OnSignal(SIGHUP, [] { PC_INFO(kMain, "event=reload role=agent"); });
+  loop_->Run();
   PC_INFO(kMain, "event=stop role=agent name=" << settings_.name);
   FlushLogs();
   return 0;
--- a/Source/Core/Agent/fleet_agent.h
+++ b/Source/Core/Agent/fleet_agent.h
@@ -17,7 +17,8 @@
 /// One process. Construct and run it on one thread.
 class FleetAgent {
  public:
-  FleetAgent(std::string settings_path, HostSettings settings);
+  /// Precondition: `loop` outlives this object.
+  FleetAgent(EventLoop* loop, HostSettings settings);
   /// Opens its addresses; fails with kUnavailable.
   Result<void> Start();
   /// Runs until SIGTERM and returns the exit code.
@@ -30,9 +31,8 @@
   void TakeReport(Result<EngineReport> report);
   void SendStatus();
 
-  std::string settings_path_;
   HostSettings settings_;
-  EventLoop loop_;
+  EventLoop* loop_;
   Metrics metrics_;
   std::unique_ptr<Http1Client> client_;
   std::unique_ptr<platform::EngineLink> engine_;
--- a/Source/Core/Fleet/deployment_follower.cc
+++ b/Source/Core/Fleet/deployment_follower.cc
@@ -12,17 +12,25 @@
 // returns at once in a fleet of a few dozen; watches closer together than this
 // would cost calls and bring nothing that is due sooner.
 constexpr Milliseconds kWatchPeriod{400};
-// An answer without changes proves that the configuration is still the newest,
-// so it must come several times within the bound for taken keys.
-constexpr Milliseconds kWatchWait{1000};
+// An answer without changes proves that the configuration is still the newest;
+// this many fit into the bound, so that a lost one does no harm.
+constexpr int kProofsPerBound = 5;
+constexpr Milliseconds kLongestWait{1000};
+constexpr Milliseconds kShortestWait{100};
 constexpr Milliseconds kFirstRetry{50};
 constexpr Milliseconds kLongestRetry{400};
 
 }  // namespace
 
 DeploymentFollower::DeploymentFollower(EventLoop* loop,
-                                       DeploymentSource* source, Events events)
-    : loop_(loop), source_(source), events_(std::move(events)) {}
+                                       DeploymentSource* source,
+                                       Milliseconds proof_bound, Events events)
+    : loop_(loop),
+      source_(source),
+      events_(std::move(events)),
+      watch_wait_(std::clamp(proof_bound / kProofsPerBound, kShortestWait,
+                             kLongestWait)),
+      watch_period_(std::min(kWatchPeriod, watch_wait_)) {}
 
 void DeploymentFollower::ReadPage(const std::string& page) {
   asked_at_ = BootNow();
@@ -68,7 +76,7 @@
 void DeploymentFollower::Watch() {
   asked_at_ = BootNow();
   call_begun_ = EventLoop::Now();
-  source_->Watch(revision_, kWatchWait, [this](SourceAnswer answer) {
+  source_->Watch(revision_, watch_wait_, [this](SourceAnswer answer) {
     TakeChanges(std::move(answer));
   });
 }
@@ -88,7 +96,7 @@
   events_.on_current(asked_at_, revision_);
   auto passed = std::chrono::duration_cast<Milliseconds>(EventLoop::Now() -
                                                          call_begun_);
-  timer_ = loop_->After(std::max(kWatchPeriod - passed, Milliseconds(0)),
+  timer_ = loop_->After(std::max(watch_period_ - passed, Milliseconds(0)),
                         [this] { Watch(); });
 }
 
--- a/Source/Core/Fleet/deployment_follower.h
+++ b/Source/Core/Fleet/deployment_follower.h
@@ -25,8 +25,11 @@
     std::function<void(bool reachable)> on_reachable;
   };
 
-  /// Precondition: `loop` and `source` outlive this object.
-  DeploymentFollower(EventLoop* loop, DeploymentSource* source, Events events);
+  /// Precondition: `loop` and `source` outlive this object. Answers come
+  /// several times within `proof_bound`, the age at which the deployment's
+  /// configuration may no longer be used in full.
+  DeploymentFollower(EventLoop* loop, DeploymentSource* source,
+                     Milliseconds proof_bound, Events events);
   void Start() { ReadPage(""); }
   bool reachable() const { return reachable_; }
   uint64_t revision() const { return revision_; }
@@ -44,6 +47,8 @@
   EventLoop* loop_;
   DeploymentSource* source_;
   Events events_;
+  Milliseconds watch_wait_;
+  Milliseconds watch_period_;
   uint64_t revision_ = 0;
   BootTime asked_at_{0};       // of the call under way
   BootTime snapshot_at_{0};    // of the first page
--- a/Source/Core/Fleet/freshness.cc
+++ b/Source/Core/Fleet/freshness.cc
@@ -8,11 +8,9 @@
 // Between this check and the first byte at the upstream: one turn of the loop
 // on a slowed host.
 constexpr Milliseconds kSendMargin{250};
-// Twice the pause between two reads of the store and a lost answer.
-constexpr Milliseconds kDenyAge{2000};
-// Half of the usual bound for keys: callers should have moved elsewhere before
-// their keys can't be honoured here.
-constexpr Milliseconds kCallersAge{2600};
+// Of the bound for keys: callers should have moved elsewhere before their keys
+// can't be honoured here.
+constexpr double kCallersShare = 0.52;
 
 }  // namespace
 
@@ -34,17 +32,18 @@
 bool ConfigFreshness::MayUseKeys(BootTime now) const {
   auto age = Age(now);
   if (!age) return false;
-  return !strict_ || *age + kSendMargin < revoke_bound_;
+  return !strict_ || *age + kSendMargin < revoke_;
 }
 
 bool ConfigFreshness::MayDenyUnknown(BootTime now) const {
   auto age = Age(now);
-  return age && *age < kDenyAge;
+  // Until then a configuration may be newer without being in force here.
+  return age && *age < config_apply_;
 }
 
 bool ConfigFreshness::MayTakeCallers(BootTime now) const {
   auto age = Age(now);
-  return age && *age < kCallersAge;
+  return age && *age < revoke_ * kCallersShare;
 }
 
 }  // namespace primrosecove
--- a/Source/Core/Fleet/freshness.h
+++ b/Source/Core/Fleet/freshness.h
@@ -20,8 +20,10 @@
 /// Not thread safe; every method takes the time from its caller.
 class ConfigFreshness {
  public:
-  ConfigFreshness(Milliseconds revoke_bound, bool strict)
-      : revoke_bound_(revoke_bound), strict_(strict) {}
+  explicit ConfigFreshness(const FleetBounds& bounds)
+      : revoke_(bounds.revoke),
+        config_apply_(bounds.config_apply),
+        strict_(bounds.strict_revoke) {}
 
   /// The configuration at hand was the newest at `asked_at`, the time at which
   /// the question was sent. Earlier proofs than the last are ignored.
@@ -38,7 +40,8 @@
   bool MayTakeCallers(BootTime now) const;
 
  private:
-  Milliseconds revoke_bound_;
+  Milliseconds revoke_;
+  Milliseconds config_apply_;
   bool strict_;
   std::optional<BootTime> proved_;
 };
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -240,7 +240,7 @@
 }
 
 void FleetRequest::TakeHead(const Http1Head& head) {
-  AnswerFields answer = platform::DecodeAnswer(head.headers);
+  AnswerFields answer = platform::DecodeAnswer(head.status, head.headers);
   Moment now = state_->Now();
   state_->registry.OnProgress(upstream_id_, now);
   if (answer.load) {
@@ -312,7 +312,8 @@
 }
 
 void FleetRequest::TakeAnswer(const CallResult& result) {
-  AnswerFields answer = platform::DecodeAnswer(result.head->headers);
+  AnswerFields answer =
+      platform::DecodeAnswer(result.head->status, result.head->headers);
   if (streaming_) {
     if (framer_.partial_bytes() > 0) return TakeFailure("stream cut short");
     ReleaseUpstream(true);
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -77,13 +77,14 @@
   return std::uniform_real_distribution<double>(0, 1)(random);
 }
 
-FleetRouter::FleetRouter(FleetRouterOptions options, HostSettings settings)
-    : options_(std::move(options)) {
-  state_.loop = &loop_;
+FleetRouter::FleetRouter(EventLoop* loop, FleetRouterOptions options,
+                         HostSettings settings)
+    : options_(std::move(options)), loop_(loop) {
+  state_.loop = loop_;
   state_.settings = std::move(settings);
-  state_.client = std::make_unique<Http1Client>(&loop_);
+  state_.client = std::make_unique<Http1Client>(loop_);
   const FleetBounds& bounds = state_.settings.bounds;
-  state_.freshness = ConfigFreshness(bounds.revoke, bounds.strict_revoke);
+  state_.freshness = ConfigFreshness(bounds);
   state_.versions = VersionFloor(bounds.version);
   state_.random.seed(RandomU64());
   AddMetrics();
@@ -151,18 +152,18 @@
   }
   const HostSettings& settings = state_.settings;
   callers_ = std::make_unique<Http1Server>(
-      &loop_, LimitsOf({}, settings),
+      loop_, LimitsOf({}, settings),
       [this](auto exchange) { TakeRequest(std::move(exchange)); });
   ready_ = std::make_unique<Http1Server>(
-      &loop_, kOwnPagesLimits,
+      loop_, kOwnPagesLimits,
       [this](auto exchange) { AnswerReady(std::move(exchange)); });
   metrics_server_ = std::make_unique<Http1Server>(
-      &loop_, kOwnPagesLimits, [this](auto exchange) {
+      loop_, kOwnPagesLimits, [this](auto exchange) {
         exchange->Reply(200, "OK", {{"Content-Type", "text/plain"}},
                         metrics_.Render());
       });
   peers_ = std::make_unique<UdpSocket>(
-      &loop_, [this](std::string_view bytes, const Endpoint&) {
+      loop_, [this](std::string_view bytes, const Endpoint&) {
         TakeDatagram(bytes);
       });
   BOOST_OUTCOME_TRY(callers_->Listen(settings.callers));
@@ -177,15 +178,12 @@
     TakeCurrent(asked_at, revision);
   };
   events.on_reachable = [this](bool it) { TakeReachable(it); };
-  follower_ = std::make_unique<DeploymentFollower>(&loop_, source_.get(),
-                                                   std::move(events));
+  follower_ = std::make_unique<DeploymentFollower>(
+      loop_, source_.get(), settings.bounds.revoke, std::move(events));
   follower_->Start();
-  notice_timer_ = loop_.Every(kNoticePeriod, [this] { SendNotices(); });
-  check_timer_ = loop_.Every(kCheckPeriod, [this] { CheckRequests(); });
-  log_timer_ = loop_.Every(kLogFlushPeriod, [] { FlushLogs(); });
-  loop_.OnSignal(SIGTERM, [this] { BeginStop(); });
-  loop_.OnSignal(SIGHUP, [this] { Reload(); });
-  signal(SIGPIPE, SIG_IGN);
+  notice_timer_ = loop_->Every(kNoticePeriod, [this] { SendNotices(); });
+  check_timer_ = loop_->Every(kCheckPeriod, [this] { CheckRequests(); });
+  log_timer_ = loop_->Every(kLogFlushPeriod, [] { FlushLogs(); });
   PC_INFO(kMain, "event=start role=router name="
                      << settings.name << " zone=" << settings.zone
                      << " callers=" << settings.callers.ToString()
@@ -194,7 +192,10 @@
 }
 
 int FleetRouter::Run() {
-  loop_.Run();
+  signal(SIGPIPE, SIG_IGN);
+  loop_->OnSignal(SIGTERM, [this] { BeginStop(); });
+  loop_->OnSignal(SIGHUP, [this] { Reload(); });
+  loop_->Run();
   PC_INFO(kMain, "event=stop role=router name=" << state_.settings.name);
   FlushLogs();
   return 0;
@@ -364,7 +365,7 @@
   stop_begun_ = state_.Now();
   callers_->BeginDrain();
   PC_INFO(kMain, "event=stopping in_flight=" << callers_->in_flight());
-  stop_timer_ = loop_.Every(kStopCheckPeriod, [this] { CheckStop(); });
+  stop_timer_ = loop_->Every(kStopCheckPeriod, [this] { CheckStop(); });
 }
 
 void FleetRouter::CheckStop() {
@@ -378,7 +379,7 @@
   if (callers_->in_flight() > 0 && !late) return;
   if (callers_->connections() > 0 && passed < kServeWhileStopping + kStopMargin)
     return;
-  loop_.Stop();
+  loop_->Stop();
 }
 
 }  // namespace primrosecove
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -23,19 +23,24 @@
 /// One process. Construct and run it on one thread.
 class FleetRouter {
  public:
-  FleetRouter(FleetRouterOptions options, HostSettings settings);
+  /// Precondition: `loop` outlives this object.
+  FleetRouter(EventLoop* loop, FleetRouterOptions options,
+              HostSettings settings);
   ~FleetRouter();
   /// Opens its addresses; fails with kUnavailable or kInvalidArgument.
   Result<void> Start();
-  /// Serves until SIGTERM and returns the exit code.
+  /// Serves until SIGTERM, obeys SIGHUP, and returns the exit code.
   int Run();
+  /// Lets requests end and then stops the loop.
+  void BeginStop();
+  const FleetCounters& counters() const { return state_.counters; }
+  const UpstreamRegistry& registry() const { return state_.registry; }
+  bool Ready() const;
 
  private:
   void AddMetrics();
-  void ListenAll(Result<void>* out);
   void TakeRequest(std::shared_ptr<Http1Exchange> exchange);
   void AnswerReady(std::shared_ptr<Http1Exchange> exchange);
-  bool Ready() const;
   void TakeChange(const DeploymentChange& change);
   void TakeConfig(const FleetConfig& config);
   void TakeCurrent(BootTime asked_at, uint64_t revision);
@@ -45,11 +50,10 @@
   std::vector<FleetNotice> MakeNotices();
   void CheckRequests();
   void Reload();
-  void BeginStop();
   void CheckStop();
 
   FleetRouterOptions options_;
-  EventLoop loop_;
+  EventLoop* loop_;
   FleetState state_;
   Metrics metrics_;
   std::unique_ptr<DeploymentSource> source_;
--- a/Source/Core/Router/fleet_state.h
+++ b/Source/Core/Router/fleet_state.h
@@ -40,7 +40,7 @@
   HostSettings settings;
   std::unique_ptr<Http1Client> client;
   std::shared_ptr<const RouteTable> routes;  ///< Null until one is known.
-  ConfigFreshness freshness{Milliseconds(0), true};
+  ConfigFreshness freshness{FleetBounds{}};
   UpstreamRegistry registry;
   VersionFloor versions{Milliseconds(0)};
   std::unique_ptr<PlacementPolicy> policy;
--- a/Source/Primrosecove/main.cc
+++ b/Source/Primrosecove/main.cc
@@ -101,7 +101,8 @@
   if (!logging) return ReportUsage(logging.error());
   auto settings = platform::ReadSettings(path);
   if (!settings) return ReportUsage(settings.error());
-  Process process(options..., std::move(settings).value());
+  EventLoop loop;
+  Process process(&loop, options..., std::move(settings).value());
   auto started = process.Start();
   if (!started) {
     std::cerr << "primrosecove: " << started.error().message << "\n";
@@ -148,7 +149,6 @@
   command->callback([=] {
     *run = [=] {
       return RunFleetProcess<FleetAgent>(options->log_levels,
-                                         options->settings_path,
                                          options->settings_path);
     };
   });
--- a/Source/UnitTests/Fleet/decisions_test.cc
+++ b/Source/UnitTests/Fleet/decisions_test.cc
@@ -13,6 +13,15 @@
 namespace primrosecove {
 namespace {
 
+// The usual bounds: keys 5 s, configuration 2 s.
+FleetBounds Bounds(bool strict) {
+  FleetBounds out;
+  out.revoke = Milliseconds(5000);
+  out.config_apply = Milliseconds(2000);
+  out.strict_revoke = strict;
+  return out;
+}
+
 BootTime BootAt(int64_t ms) { return Milliseconds(ms); }
 
 TEST_CASE("a configuration's age bounds what may be decided with it") {
@@ -37,7 +46,7 @@
   };
   for (const Row& row : rows) {
     INFO(row.name);
-    ConfigFreshness freshness(Milliseconds(5000), row.strict);
+    ConfigFreshness freshness(Bounds(row.strict));
     BootTime now = BootAt(100'000);
     if (row.age_ms) freshness.Prove(now - Milliseconds(*row.age_ms));
     CHECK(freshness.MayUseKeys(now) == row.keys);
@@ -47,7 +56,7 @@
 }
 
 TEST_CASE("a late answer to an early question proves nothing newer") {
-  ConfigFreshness freshness(Milliseconds(5000), true);
+  ConfigFreshness freshness(Bounds(true));
   freshness.Prove(BootAt(10'000));
   freshness.Prove(BootAt(4000));
   CHECK(freshness.Age(BootAt(11'000)) == Milliseconds(1000));
@@ -58,11 +67,11 @@
 TEST_CASE("no taken key runs after its bound in any order of events") {
   constexpr int64_t kStep = 500;
   constexpr int64_t kEnd = 12'000;
-  constexpr Milliseconds kBound(5000);
+  const Milliseconds kBound = Bounds(true).revoke;
   for (int64_t removed = 0; removed <= kEnd; removed += kStep) {
     for (int64_t asked = 0; asked <= kEnd; asked += kStep) {
       for (int64_t answered = asked; answered <= kEnd; answered += kStep) {
-        ConfigFreshness freshness(kBound, true);
+        ConfigFreshness freshness(Bounds(true));
         // The answer shows the removal when the question came after it.
         freshness.Prove(BootAt(asked));
         bool knows = removed <= asked;
--- /dev/null
+++ b/Source/UnitTests/Platform/codec_test.cc
@@ -0,0 +1,185 @@
+// What the platform's texts mean, and what malformed ones must not break.
+#include "platform/codec.h"
+
+#include <catch2/catch.hpp>
+
+#include "platform/headers.h"
+#include "platform/settings.h"
+
+namespace primrosecove::platform {
+namespace {
+
+constexpr char kServer[] =
+    R"("service":"s","address":"10.0.0.1:80","zone":"z","slots":4)";
+
+TEST_CASE("registrations of other writers name no upstream") {
+  struct Row {
+    const char* name;
+    std::string text;
+    bool usable;
+    bool leaving;
+  };
+  std::string base = kServer;
+  const Row rows[] = {
+      {"ready", "{" + base + R"(,"state":"ready"})", true, false},
+      {"leaving", "{" + base + R"(,"state":"draining"})", true, true},
+      {"unknown fields",
+       "{" + base + R"(,"state":"ready","future":[1,{"a":2}]})", true, false},
+      {"unknown state", "{" + base + R"(,"state":"resting"})", false, false},
+      {"no state", "{" + base + "}", false, false},
+      {"state of another type", "{" + base + R"(,"state":1})", false, false},
+      {"address without port",
+       R"({"service":"s","address":"10.0.0.1","zone":"z","slots":4,)"
+       R"("state":"ready"})",
+       false, false},
+      {"slots of another type",
+       R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"4",)"
+       R"("state":"ready"})",
+       false, false},
+      {"models of another type",
+       "{" + base + R"(,"state":"ready","models":[3]})", false, false},
+      {"cut short", "{" + base, false, false},
+      {"no text", "\xff\xfe\x00", false, false},
+      {"a list", "[]", false, false},
+      {"nothing", "", false, false},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    auto change = DecodeItem({"servers/i-1", row.text, 5, false});
+    REQUIRE(change);
+    REQUIRE(change.value());
+    const auto& upstream = std::get<UpstreamChange>(*change.value());
+    CHECK(upstream.id == "i-1");
+    REQUIRE(upstream.record.has_value() == row.usable);
+    if (row.usable) {
+      CHECK(upstream.record->leaving == row.leaving);
+    } else {
+      CHECK_FALSE(upstream.why_unusable.empty());
+    }
+  }
+}
+
+TEST_CASE("weights count as whole when all layers are of their version") {
+  struct Row {
+    const char* name;
+    const char* layers;
+    bool whole;
+  };
+  const Row rows[] = {
+      {"not told", "", true},
+      {"all", R"(,"layers":[{"from":0,"to":16,"version":2}])", true},
+      {"in two ranges",
+       R"(,"layers":[{"from":0,"to":8,"version":2},)"
+       R"({"from":8,"to":16,"version":2}])",
+       true},
+      {"of two versions",
+       R"(,"layers":[{"from":0,"to":8,"version":1},)"
+       R"({"from":8,"to":16,"version":2}])",
+       false},
+      {"none", R"(,"layers":[])", false},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    std::string text = R"({"models":[{"name":"m","version":2}])" +
+                       std::string(row.layers) + "}";
+    auto report = DecodeReport(text);
+    REQUIRE(report);
+    REQUIRE(report.value().weights.size() == 1);
+    CHECK(report.value().weights[0].whole == row.whole);
+  }
+}
+
+TEST_CASE("a configuration is read whole or refused") {
+  const std::string text =
+      R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/a/",)"
+      R"("route_type":"streaming","timeout_ms":6000,"latency_target_ms":400,)"
+      R"("priority":1,"split":[{"service":"s","weight":90},)"
+      R"({"service":"o","weight":10}],"max_attempts":2,"resumable":true,)"
+      R"("sticky":true}],"services":[{"name":"s","max_conns":9,"runtime":)"
+      R"({"slots":16,"read_per_s":20700.0,"models":[{"name":"m",)"
+      R"("warm_s":0.3}],"chunks":96}},{"name":"o","origin":"1.2.3.4:5"}],)"
+      R"("tenants":[{"name":"w","api_keys":["k"],"priority":1}],)"
+      R"("limits":{"idle_timeout_ms":15000}})";
+  auto config = DecodeConfig(text);
+  REQUIRE(config);
+  const FleetConfig& it = config.value();
+  CHECK(it.version == 7);
+  CHECK(it.routes[0].kind == RequestKind::kStream);
+  CHECK(it.routes[0].Repeatable());
+  CHECK(it.routes[0].services.size() == 2);
+  CHECK(it.services.at("s").engine->models[0].warm_up == Milliseconds(300));
+  CHECK(it.services.at("o").origin->port == 5);
+  CHECK(it.workspaces[0].keys[0] == "k");
+  CHECK(it.limits.idle_timeout == Milliseconds(15'000));
+  for (size_t n : {text.size() - 1, text.size() / 2, size_t{0}}) {
+    CHECK_FALSE(DecodeConfig(text.substr(0, n)));
+  }
+  std::string unknown = text;
+  unknown.replace(unknown.find("streaming"), 9, "telepathy");
+  CHECK_FALSE(DecodeConfig(unknown));
+}
+
+TEST_CASE("credentials and the system's own fields never come from a caller") {
+  HttpHeaders caller = {{"Host", "h"},
+                        {"Request-Id", "1"},
+                        {"authorization", "Bearer k"},
+                        {"TENANT", "somebody"},
+                        {"Expect-Instance", "i-9"},
+                        {"Expect-Version", "9"},
+                        {"Connection", "keep-alive, x-hop"},
+                        {"X-Hop", "1"},
+                        {"Model", "m"},
+                        {"Token-Usage", "10,20"}};
+  UpstreamFields fields;
+  fields.deadline = Milliseconds(900);
+  fields.upstream_id = "i-1";
+  HttpHeaders out = UpstreamHeaders(caller, fields);
+  struct Row {
+    const char* name;
+    const char* value;  // null: absent
+  };
+  const Row rows[] = {{"Authorization", nullptr}, {"Tenant", nullptr},
+                      {"Expect-Instance", "i-1"}, {"Expect-Version", nullptr},
+                      {"X-Hop", nullptr},         {"Connection", nullptr},
+                      {"Deadline-Ms", "900"},     {"Model", "m"},
+                      {"Token-Usage", "10,20"},   {"Request-Id", "1"}};
+  for (const Row& row : rows) {
+    INFO(row.name);
+    auto value = out.Find(row.name);
+    REQUIRE(value.has_value() == (row.value != nullptr));
+    if (row.value != nullptr) CHECK(*value == row.value);
+  }
+  CHECK(DecodeCaller(caller).key == "k");
+  CHECK(DecodeCaller(caller).prompt_tokens == 10);
+}
+
+TEST_CASE("the time to come back is told in seconds with fractions") {
+  auto told = [](int64_t ms) {
+    HttpHeaders out = RefusalHeaders("1", Milliseconds(ms));
+    return std::string(out.Find("Retry-After").value_or(""));
+  };
+  CHECK(told(0) == "0.000");
+  CHECK(told(45) == "0.045");
+  CHECK(told(1250) == "1.250");
+}
+
+TEST_CASE("settings without what a process needs are refused") {
+  const std::string good =
+      "node_name: a\nip: 10.0.0.1\nzone: z\nregion: r\nplatform:\n"
+      "  address: 10.0.0.9:80\nlisten:\n  frontend: 10.0.0.1:81\n"
+      "internal_ports: [7700, 7715]\nbounds:\n  revoke_ms: 5000\n"
+      "  strict_revoke: true\n  grace_s: 8\nunknown: 1\n";
+  auto settings = ParseSettings(good);
+  REQUIRE(settings);
+  CHECK(settings.value().callers.port == 81);
+  CHECK(settings.value().first_internal_port == 7700);
+  CHECK(settings.value().bounds.stop_grace == Milliseconds(8000));
+  for (const char* text :
+       {"", "a: [", "node_name: a", "node_name: a\nip: 1.2.3.4\n"}) {
+    INFO(text);
+    CHECK_FALSE(ParseSettings(text));
+  }
+}
+
+}  // namespace
+}  // namespace primrosecove::platform
