--- a/Source/Core/Agent/fleet_agent.cc
+++ b/Source/Core/Agent/fleet_agent.cc
@@ -60,11 +60,11 @@
       {"orders_total", "Orders to load", &StagerCounters::orders},
   };
   for (const Row& row : kRows) {
-    metrics_.AddCounter(std::string("primrosecove_agent_") + row.name, row.help,
-                        {}, [this, row] {
-                          return static_cast<double>(stager_->counters().*
-                                                     row.member);
-                        });
+    metrics_.AddCounter(
+        std::string("primrosecove_agent_") + row.name, row.help, {},
+        [this, row] {
+          return static_cast<double>(stager_->counters().*row.member);
+        });
   }
   metrics_.AddGauge("primrosecove_agent_weights_version",
                     "Version that the engine serves whole", {}, [this] {
@@ -118,8 +118,8 @@
 void FleetAgent::TakeDatagram(std::string_view bytes, const Endpoint& from) {
   auto message = DecodeMessage(bytes);
   if (!message) {
-    PC_WARN(kNet, "event=datagram_dropped why=\"" << message.error().message
-                                                  << "\"");
+    PC_WARN(kNet,
+            "event=datagram_dropped why=\"" << message.error().message << "\"");
     return;
   }
   const auto* notice = std::get_if<FleetNotice>(&message.value());
--- a/Source/Core/Agent/fleet_agent.h
+++ b/Source/Core/Agent/fleet_agent.h
@@ -1,5 +1,5 @@
-// The agent of a prepared deployment: stands beside an engine, tells routers its
-// state, and brings named weights to it.
+// The agent of a prepared deployment: stands beside an engine, tells routers
+// its state, and brings named weights to it.
 #pragma once
 
 #include <map>
--- a/Source/Core/Agent/weight_stager.cc
+++ b/Source/Core/Agent/weight_stager.cc
@@ -236,10 +236,9 @@
     retry_timer_ = loop_->After(kRetryPause, [this] { FetchManifest(); });
     return;
   }
-  PC_INFO(kWeights, "event=manifest_read version=" << copy_->version()
-                                                   << " pieces="
-                                                   << copy_->size()
-                                                   << " source=" << source);
+  PC_INFO(kWeights, "event=manifest_read version="
+                        << copy_->version() << " pieces=" << copy_->size()
+                        << " source=" << source);
   if (local_read_) return Plan();
   local_read_ = true;
   local_next_ = 0;
@@ -253,12 +252,12 @@
   while (local_pending_ < kLocalAtOnce && local_next_ < copy_->size()) {
     uint32_t n = local_next_++;
     ++local_pending_;
-    engine_->ReadPiece(copy_->model(), n,
-                       [this, n, generation = generation_](
-                           Result<std::string> bytes) {
-                         if (generation != generation_) return;
-                         TakeLocal(n, std::move(bytes));
-                       });
+    engine_->ReadPiece(
+        copy_->model(), n,
+        [this, n, generation = generation_](Result<std::string> bytes) {
+          if (generation != generation_) return;
+          TakeLocal(n, std::move(bytes));
+        });
   }
   if (local_pending_ > 0) return;
   PC_INFO(kWeights, "event=local_read version=" << copy_->version() << " held="
@@ -280,8 +279,8 @@
   plan_.clear();
   if (!copy_->has_digests() || local_pending_ > 0) return;
   PieceView view = View();
-  auto since_begin = std::chrono::duration_cast<Milliseconds>(
-      EventLoop::Now() - begun_at_);
+  auto since_begin =
+      std::chrono::duration_cast<Milliseconds>(EventLoop::Now() - begun_at_);
   for (uint32_t n : copy_->Missing()) {
     plan_[n] = PlanPiece(view, n, since_begin);
   }
@@ -379,8 +378,8 @@
 
 void WeightStager::FetchFromPeer(const FleetMember& member, uint32_t n) {
   HttpRequest request;
-  request.target = PathOf(copy_->model(), copy_->version()) +
-                   "?piece=" + std::to_string(n);
+  request.target =
+      PathOf(copy_->model(), copy_->version()) + "?piece=" + std::to_string(n);
   CallOptions options;
   options.timeout = kStall;
   CallEvents events;
@@ -400,8 +399,7 @@
   SteadyTime now = EventLoop::Now();
   auto fetch = std::move(fetches_[n]);
   fetches_.erase(n);
-  auto took =
-      std::chrono::duration_cast<Milliseconds>(now - fetch->begun);
+  auto took = std::chrono::duration_cast<Milliseconds>(now - fetch->begun);
   bool whole = result.end == CallEnd::kComplete && result.head->status == 200;
   bool busy =
       result.end == CallEnd::kComplete && result.head->status == kBusyStatus;
@@ -419,10 +417,9 @@
 
 void WeightStager::Avoid(const std::string& id, const char* why) {
   avoided_until_[id] = EventLoop::Now() + kAvoidFor;
-  PC_INFO(kWeights, "event=peer_avoided peer=" << id << " why=\"" << why
-                                               << "\" version="
-                                               << copy_->version() << " held="
-                                               << copy_->held_count());
+  PC_INFO(kWeights, "event=peer_avoided peer="
+                        << id << " why=\"" << why << "\" version="
+                        << copy_->version() << " held=" << copy_->held_count());
 }
 
 void WeightStager::FetchFromOrigin() {
@@ -430,17 +427,16 @@
     if (origin_under_way_.size() >= kOriginAtOnce) return;
     if (!sources.origin || copy_->Has(n)) continue;
     if (!origin_under_way_.insert(n).second) continue;
-    origin_.Piece(notice_->origin, copy_->model(), copy_->version(), n,
-                  [this, n = n, generation = generation_](
-                      Result<std::string> bytes) {
-                    if (generation != generation_) return;
-                    origin_under_way_.erase(n);
-                    if (bytes) {
-                      AddPiece(n, std::move(bytes).value(),
-                               &counters_.origin_bytes);
-                    }
-                    FetchFromOrigin();
-                  });
+    origin_.Piece(
+        notice_->origin, copy_->model(), copy_->version(), n,
+        [this, n = n, generation = generation_](Result<std::string> bytes) {
+          if (generation != generation_) return;
+          origin_under_way_.erase(n);
+          if (bytes) {
+            AddPiece(n, std::move(bytes).value(), &counters_.origin_bytes);
+          }
+          FetchFromOrigin();
+        });
   }
 }
 
@@ -459,10 +455,10 @@
   if (!copy_->complete()) return;
   completed_age_ = NamedAge();
   PC_INFO(kWeights, "event=copy_complete version="
-                        << copy_->version() << " named_age_ms="
-                        << NamedAge().count() << " origin_bytes="
-                        << counters_.origin_bytes << " peer_bytes="
-                        << counters_.peer_bytes);
+                        << copy_->version()
+                        << " named_age_ms=" << NamedAge().count()
+                        << " origin_bytes=" << counters_.origin_bytes
+                        << " peer_bytes=" << counters_.peer_bytes);
 }
 
 void WeightStager::StageNext() {
@@ -517,12 +513,12 @@
   while (verify_pending_ < kLocalAtOnce && verify_next_ < copy_->size()) {
     uint32_t n = verify_next_++;
     ++verify_pending_;
-    engine_->ReadPiece(copy_->model(), n,
-                       [this, n, generation = generation_](
-                           const Result<std::string>& bytes) {
-                         if (generation != generation_) return;
-                         TakeVerified(n, bytes);
-                       });
+    engine_->ReadPiece(
+        copy_->model(), n,
+        [this, n, generation = generation_](const Result<std::string>& bytes) {
+          if (generation != generation_) return;
+          TakeVerified(n, bytes);
+        });
   }
   if (verify_pending_ > 0) return;
   verifying_ = false;
@@ -549,8 +545,7 @@
     order_under_way_ = false;
     if (answer == platform::OrderAnswer::kBegun && on_loading_) on_loading_();
     PC_INFO(kRollout, "event=load_ordered version="
-                          << version << " answer="
-                          << static_cast<int>(answer)
+                          << version << " answer=" << static_cast<int>(answer)
                           << " running=" << report_.running);
   };
   engine_->OrderLoad(copy_->model(), copy_->version(), done);
@@ -585,8 +580,8 @@
   ServePiece(exchange, *version, static_cast<uint32_t>(n.value_or(UINT32_MAX)));
 }
 
-void WeightStager::ServeManifest(
-    const std::shared_ptr<Http1Exchange>& exchange, uint64_t version) {
+void WeightStager::ServeManifest(const std::shared_ptr<Http1Exchange>& exchange,
+                                 uint64_t version) {
   WeightCopy* copy = CopyOf(version);
   if (copy == nullptr || !copy->has_digests()) {
     return exchange->Reply(404, "Not Found", {}, "");
@@ -651,10 +646,9 @@
     std::string_view piece = copy->Piece(next.piece);
     SteadyTime now = EventLoop::Now();
     if (!upload_pacer_.TrySend(piece.size(), now)) {
-      upload_timer_ =
-          loop_->After(std::max(upload_pacer_.Wait(piece.size(), now),
-                                Milliseconds(1)),
-                       [this] { SendNextUpload(); });
+      upload_timer_ = loop_->After(
+          std::max(upload_pacer_.Wait(piece.size(), now), Milliseconds(1)),
+          [this] { SendNextUpload(); });
       return;
     }
     counters_.sent_bytes += piece.size();
--- a/Source/Core/Agent/weight_stager.h
+++ b/Source/Core/Agent/weight_stager.h
@@ -121,7 +121,7 @@
   std::map<std::string, std::unique_ptr<Feed>> feeds_;
   std::map<uint32_t, std::unique_ptr<Fetch>> fetches_;  ///< By piece.
   std::map<uint32_t, PieceSources> plan_;               ///< Of missing pieces.
-  std::map<uint32_t, SteadyTime> seen_at_;  ///< First in this zone.
+  std::map<uint32_t, SteadyTime> seen_at_;              ///< First in this zone.
   SteadyTime begun_at_;
   std::string news_;  ///< Pieces that followers are to be told of.
   FetchPacer fetch_pacer_;
--- a/Source/Core/Common/log.cc
+++ b/Source/Core/Common/log.cc
@@ -81,8 +81,8 @@
 
   void Flush() {
     if (dropped_ > 0) {
-      pending_ += "event=log_lines_dropped count=" + std::to_string(dropped_) +
-                  "\n";
+      pending_ +=
+          "event=log_lines_dropped count=" + std::to_string(dropped_) + "\n";
       dropped_ = 0;
     }
     lines_ = 0;
--- a/Source/Core/Fleet/deployment.h
+++ b/Source/Core/Fleet/deployment.h
@@ -39,10 +39,10 @@
   Milliseconds latency_target{0};  ///< To the answer, or to the first event.
   Milliseconds pause_target{0};    ///< Longest pause between events.
   int priority = 0;                ///< 0 is served first.
-  int max_attempts = 1;            ///< Upstreams that one request may be sent to.
-  bool is_public = false;          ///< Needs no key.
-  bool generates = false;          ///< Its requests are sized in tokens.
-  bool resumable = false;          ///< Its streams may go on elsewhere.
+  int max_attempts = 1;    ///< Upstreams that one request may be sent to.
+  bool is_public = false;  ///< Needs no key.
+  bool generates = false;  ///< Its requests are sized in tokens.
+  bool resumable = false;  ///< Its streams may go on elsewhere.
   std::vector<ServiceShare> services;
 
   /// Whether a request may run on more than one upstream.
@@ -60,12 +60,12 @@
 
 /// The published speed and memory of a service's engines.
 struct EngineProfile {
-  int slots = 1;               ///< Requests decoded at once.
-  int64_t cache_tokens = 0;    ///< Tokens that the engine's memory holds.
-  int steps_per_pass = 1;      ///< Decode steps between two looks at the queue.
-  double step_ms = 0;          ///< A decode step, before the following two.
-  double sequence_ms = 0;      ///< Added to a step for each running request.
-  double context_ms_per_k = 0; ///< Added for each 1,000 tokens of context.
+  int slots = 1;             ///< Requests decoded at once.
+  int64_t cache_tokens = 0;  ///< Tokens that the engine's memory holds.
+  int steps_per_pass = 1;    ///< Decode steps between two looks at the queue.
+  double step_ms = 0;        ///< A decode step, before the following two.
+  double sequence_ms = 0;    ///< Added to a step for each running request.
+  double context_ms_per_k = 0;  ///< Added for each 1,000 tokens of context.
   double prefill_tokens_per_s = 0;
   double pair_ms_per_million = 0;  ///< Attention's share of prefill.
   int prefill_chunk_tokens = 0;    ///< Most prompt tokens read in a step.
@@ -163,13 +163,13 @@
 
 /// Bounds of the deployment that the system's decisions depend on.
 struct FleetBounds {
-  Milliseconds drain{2000};          ///< No new work after a leave is known.
-  Milliseconds stop_grace{8000};     ///< From SIGTERM to SIGKILL.
-  Milliseconds config_apply{2000};   ///< A new configuration is in force.
-  Milliseconds revoke{5000};         ///< A taken key runs nothing.
-  bool strict_revoke = false;        ///< That holds for cut-off hosts too.
-  Milliseconds version{8000};        ///< New weights serve all new requests.
-  double retry_ratio = 0.2;          ///< Repeats over requests, of all hosts.
+  Milliseconds drain{2000};         ///< No new work after a leave is known.
+  Milliseconds stop_grace{8000};    ///< From SIGTERM to SIGKILL.
+  Milliseconds config_apply{2000};  ///< A new configuration is in force.
+  Milliseconds revoke{5000};        ///< A taken key runs nothing.
+  bool strict_revoke = false;       ///< That holds for cut-off hosts too.
+  Milliseconds version{8000};       ///< New weights serve all new requests.
+  double retry_ratio = 0.2;         ///< Repeats over requests, of all hosts.
   Milliseconds retry_window{10'000};
   double retry_slack = 100;
 };
--- a/Source/Core/Fleet/deployment_follower.cc
+++ b/Source/Core/Fleet/deployment_follower.cc
@@ -94,8 +94,8 @@
   for (const DeploymentChange& change : answer.changes) Report(change);
   revision_ = std::max(revision_, answer.revision);
   events_.on_current(asked_at_, revision_);
-  auto passed = std::chrono::duration_cast<Milliseconds>(EventLoop::Now() -
-                                                         call_begun_);
+  auto passed =
+      std::chrono::duration_cast<Milliseconds>(EventLoop::Now() - call_begun_);
   timer_ = loop_->After(std::max(watch_period_ - passed, Milliseconds(0)),
                         [this] { Watch(); });
 }
--- a/Source/Core/Fleet/deployment_follower.h
+++ b/Source/Core/Fleet/deployment_follower.h
@@ -50,8 +50,8 @@
   Milliseconds watch_wait_;
   Milliseconds watch_period_;
   uint64_t revision_ = 0;
-  BootTime asked_at_{0};       // of the call under way
-  BootTime snapshot_at_{0};    // of the first page
+  BootTime asked_at_{0};     // of the call under way
+  BootTime snapshot_at_{0};  // of the first page
   SteadyTime call_begun_;
   std::set<std::string> upstreams_;       // known ids
   std::set<std::string> page_upstreams_;  // ids of the snapshot under way
--- a/Source/Core/Fleet/deployment_source.h
+++ b/Source/Core/Fleet/deployment_source.h
@@ -20,9 +20,9 @@
 struct SourceAnswer {
   SourceStatus status = SourceStatus::kUnavailable;
   std::vector<DeploymentChange> changes;
-  uint64_t revision = 0;     ///< Of the store when it answered.
-  std::string next_page;     ///< Where the next page begins; empty: no more.
-  std::string why;           ///< Of a failure, for logs.
+  uint64_t revision = 0;  ///< Of the store when it answered.
+  std::string next_page;  ///< Where the next page begins; empty: no more.
+  std::string why;        ///< Of a failure, for logs.
 };
 
 /// Reads the deployment. Use it on its loop's thread; callbacks run on it and
--- a/Source/Core/Fleet/fleet_messages.cc
+++ b/Source/Core/Fleet/fleet_messages.cc
@@ -62,10 +62,17 @@
 Endpoint FromWire(const EndpointWire& it) { return {it.ip, it.port}; }
 
 NoticeWire ToWire(const FleetNotice& it) {
-  NoticeWire out{it.store_revision, it.service,      it.model,
-                 it.named_version,  it.named_age_ms, it.version_bound_ms,
-                 it.warm_up_ms,     it.chunks,       it.chunk_bytes,
-                 ToWire(it.origin), {}};
+  NoticeWire out{it.store_revision,
+                 it.service,
+                 it.model,
+                 it.named_version,
+                 it.named_age_ms,
+                 it.version_bound_ms,
+                 it.warm_up_ms,
+                 it.chunks,
+                 it.chunk_bytes,
+                 ToWire(it.origin),
+                 {}};
   for (const FleetMember& member : it.members) {
     out.members.push_back({member.id, ToWire(member.upstream), member.zone,
                            member.whole_version, member.leaving});
@@ -74,10 +81,17 @@
 }
 
 FleetNotice FromWire(const NoticeWire& it) {
-  FleetNotice out{it.store_revision, it.service,      it.model,
-                  it.named_version,  it.named_age_ms, it.version_bound_ms,
-                  it.warm_up_ms,     it.chunks,       it.chunk_bytes,
-                  FromWire(it.origin), {}};
+  FleetNotice out{it.store_revision,
+                  it.service,
+                  it.model,
+                  it.named_version,
+                  it.named_age_ms,
+                  it.version_bound_ms,
+                  it.warm_up_ms,
+                  it.chunks,
+                  it.chunk_bytes,
+                  FromWire(it.origin),
+                  {}};
   for (const MemberWire& member : it.members) {
     out.members.push_back({member.id, FromWire(member.upstream), member.zone,
                            member.whole_version, member.leaving});
@@ -86,23 +100,29 @@
 }
 
 StatusWire ToWire(const UpstreamStatus& it) {
-  return {ToWire(it.upstream), it.sequence,      it.reachable,
-          it.loading,          it.whole_version, it.staged_version,
-          it.running,          it.waiting,       it.pace_percent,
-          it.born_ms,          it.routers_heard};
+  return {ToWire(it.upstream), it.sequence,       it.reachable,    it.loading,
+          it.whole_version,    it.staged_version, it.running,      it.waiting,
+          it.pace_percent,     it.born_ms,        it.routers_heard};
 }
 
 UpstreamStatus FromWire(const StatusWire& it) {
-  return {FromWire(it.upstream), it.sequence,      it.reachable,
-          it.loading,            it.whole_version, it.staged_version,
-          it.running,            it.waiting,       it.pace_percent,
-          it.born_ms,            it.routers_heard};
+  return {FromWire(it.upstream), it.sequence,       it.reachable,    it.loading,
+          it.whole_version,      it.staged_version, it.running,      it.waiting,
+          it.pace_percent,       it.born_ms,        it.routers_heard};
 }
 
+constexpr uint32_t kNoticeFields = 11;
+constexpr uint32_t kStatusFields = 11;
+
 template <typename Wire>
-FleetMessage Unpack(std::string_view bytes) {
+FleetMessage Unpack(std::string_view bytes, uint32_t fields) {
   auto handle = msgpack::unpack(bytes.data(), bytes.size());
-  return FromWire(handle.get().as<Wire>());
+  const msgpack::object& root = handle.get();
+  // The library takes a shorter array and leaves the rest as it was.
+  if (root.type != msgpack::type::ARRAY || root.via.array.size != fields) {
+    throw msgpack::type_error();
+  }
+  return FromWire(root.as<Wire>());
 }
 
 }  // namespace
@@ -123,10 +143,10 @@
   // The library reports by exceptions; they end here.
   try {
     if (datagram.starts_with(kNoticeTag)) {
-      return Unpack<NoticeWire>(datagram.substr(1));
+      return Unpack<NoticeWire>(datagram.substr(1), kNoticeFields);
     }
     if (datagram.starts_with(kStatusTag)) {
-      return Unpack<StatusWire>(datagram.substr(1));
+      return Unpack<StatusWire>(datagram.substr(1), kStatusFields);
     }
   } catch (const std::exception& e) {
     return Fail(ErrorCode::kInvalidArgument,
--- a/Source/Core/Fleet/load_order.h
+++ b/Source/Core/Fleet/load_order.h
@@ -18,14 +18,14 @@
   Milliseconds named_age{0};      ///< Since the version was named.
   Milliseconds version_bound{0};  ///< By when all must serve it.
   Milliseconds completed_age{0};  ///< Its value when the copy was complete.
-  double turn = 0;  ///< This engine's place among all, 0 to 1.
+  double turn = 0;                ///< This engine's place among all, 0 to 1.
 };
 
 /// Whether to stage, verify and order now. An engine that serves nothing, or
-/// nobody, is ordered at once. The others take turns between the completion of their copy
-/// and the time at which routers stop using older weights: an engine is out
-/// until its running requests have ended, and callers lose less when only some
-/// are out at a time. Thread safe.
+/// nobody, is ordered at once. The others take turns between the completion of
+/// their copy and the time at which routers stop using older weights: an engine
+/// is out until its running requests have ended, and callers lose less when
+/// only some are out at a time. Thread safe.
 bool ShouldLoad(const LoadSituation& situation);
 
 /// This member's place in the order of swaps, 0 to 1, equal in every process.
--- a/Source/Core/Fleet/placement_policy.cc
+++ b/Source/Core/Fleet/placement_policy.cc
@@ -7,7 +7,8 @@
 namespace {
 
 // Another zone or region is taken when it saves at least this much expected
-// wait: a request's bytes cost more there, and its answer takes a little longer.
+// wait: a request's bytes cost more there, and its answer takes a little
+// longer.
 constexpr double kOtherZoneMs = 15;
 constexpr double kOtherRegionMs = 30;
 constexpr double kMsPerSecond = 1000;
@@ -18,11 +19,12 @@
 // together.
 constexpr Milliseconds kLeastRetryAfter{300};
 
-double DistanceMs(const FleetUpstream& upstream, const PlacementRequest& request) {
+double DistanceMs(const FleetUpstream& upstream,
+                  const PlacementRequest& request) {
   if (upstream.record.zone == request.home_zone) return 0;
   auto it = request.region_of_zone->find(upstream.record.zone);
-  bool same_region = it != request.region_of_zone->end() &&
-                     it->second == request.home_region;
+  bool same_region =
+      it != request.region_of_zone->end() && it->second == request.home_region;
   return same_region ? kOtherZoneMs : kOtherRegionMs;
 }
 
@@ -44,8 +46,8 @@
       out.wait = Milliseconds(static_cast<int64_t>(wait));
     }
     if (out.upstream == nullptr && !candidates.empty()) {
-      out.retry_after = std::max(
-          kLeastRetryAfter, Milliseconds(static_cast<int64_t>(soonest)));
+      out.retry_after = std::max(kLeastRetryAfter,
+                                 Milliseconds(static_cast<int64_t>(soonest)));
     }
     return out;
   }
@@ -68,8 +70,8 @@
            std::max(upstream.record.slots, 1);
   }
 
-  static bool Fits(const FleetUpstream& upstream, const PlacementRequest& request,
-                   double wait_ms) {
+  static bool Fits(const FleetUpstream& upstream,
+                   const PlacementRequest& request, double wait_ms) {
     if (wait_ms <= 0 || request.begun) return true;
     double own = static_cast<double>(request.usual_time.count());
     if (request.service->engine) {
@@ -79,8 +81,7 @@
       own = PrefillMs(engine, request.prompt_tokens) +
             2 * engine.step_ms * engine.steps_per_pass;
     }
-    double pace =
-        upstream.status ? upstream.status->pace_percent / 100.0 : 1.0;
+    double pace = upstream.status ? upstream.status->pace_percent / 100.0 : 1.0;
     double total = request.waited.count() + wait_ms + own * std::max(pace, 1.0);
     return total <= static_cast<double>(request.route->latency_target.count());
   }
--- a/Source/Core/Fleet/placement_policy.h
+++ b/Source/Core/Fleet/placement_policy.h
@@ -30,7 +30,7 @@
 /// The choice among candidates.
 struct Placement {
   FleetUpstream* upstream = nullptr;  ///< Null: none can serve in time.
-  Milliseconds wait{0};  ///< Expected in the upstream's queue.
+  Milliseconds wait{0};               ///< Expected in the upstream's queue.
   /// When an upstream should have room; set where none has.
   Milliseconds retry_after{0};
   size_t candidates = 0;  ///< Upstreams that could be chosen from.
--- a/Source/Core/Fleet/request_fields.h
+++ b/Source/Core/Fleet/request_fields.h
@@ -22,9 +22,9 @@
 
 /// What the system says to the upstream that a request is sent to.
 struct UpstreamFields {
-  Milliseconds deadline{0};     ///< What is left of the caller's wait.
-  std::string upstream_id;      ///< Any other upstream must refuse.
-  std::string workspace;        ///< Empty for requests without a key.
+  Milliseconds deadline{0};  ///< What is left of the caller's wait.
+  std::string upstream_id;   ///< Any other upstream must refuse.
+  std::string workspace;     ///< Empty for requests without a key.
   std::optional<uint64_t> weights_version;  ///< Others must refuse.
   std::optional<uint64_t> last_event_id;
 };
--- a/Source/Core/Fleet/retry_allowance.cc
+++ b/Source/Core/Fleet/retry_allowance.cc
@@ -18,8 +18,8 @@
     : bounds_(bounds), routers_(kAssumedRouters) {}
 
 RetryAllowance::Bucket& RetryAllowance::Current(Milliseconds now) {
-  int64_t width = std::max<int64_t>(bounds_.retry_window.count() /
-                                        (kBuckets - 1), 1);
+  int64_t width =
+      std::max<int64_t>(bounds_.retry_window.count() / (kBuckets - 1), 1);
   int64_t number = now.count() / width;
   Bucket& out = buckets_[static_cast<size_t>(number % kBuckets)];
   if (out.number != number) out = Bucket{number, 0, 0};
--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -47,16 +47,15 @@
     upstream.record = *change.record;
     upstream.lapsed_at.reset();
     if (!news) return;
-    uint64_t version =
-        upstream.record.weights.empty() ? 0 : upstream.record.weights[0].version;
-    PC_INFO(kMembership, "event=upstream_registered id="
-                             << change.id << " service="
-                             << change.record->service << " at="
-                             << change.record->endpoint.ToString()
-                             << " zone=" << change.record->zone
-                             << " leaving=" << change.record->leaving
-                             << " restarted=" << restarted
-                             << " weights=" << version);
+    uint64_t version = upstream.record.weights.empty()
+                           ? 0
+                           : upstream.record.weights[0].version;
+    PC_INFO(kMembership,
+            "event=upstream_registered id="
+                << change.id << " service=" << change.record->service
+                << " at=" << change.record->endpoint.ToString() << " zone="
+                << change.record->zone << " leaving=" << change.record->leaving
+                << " restarted=" << restarted << " weights=" << version);
     return;
   }
   if (it == upstreams_.end()) return;
@@ -77,9 +76,9 @@
         now - upstream.status_at < kStatusLifetime) {
       continue;
     }
-    if (upstream.status && (upstream.status->reachable != status.reachable ||
-                            upstream.status->whole_version !=
-                                status.whole_version)) {
+    if (upstream.status &&
+        (upstream.status->reachable != status.reachable ||
+         upstream.status->whole_version != status.whole_version)) {
       PC_INFO(kMembership, "event=upstream_status id="
                                << id << " reachable=" << status.reachable
                                << " weights=" << status.whole_version
@@ -151,13 +150,12 @@
 }
 
 std::vector<FleetUpstream*> UpstreamRegistry::Usable(const std::string& service,
-                                                Moment now) {
+                                                     Moment now) {
   std::vector<FleetUpstream*> out;
   std::vector<FleetUpstream*> ejected;
   for (auto& [id, upstream] : upstreams_) {
     if (upstream.record.service != service || upstream.record.leaving) continue;
-    bool heard =
-        upstream.status && now - upstream.status_at < kStatusLifetime;
+    bool heard = upstream.status && now - upstream.status_at < kStatusLifetime;
     // A loading engine takes nothing until its running requests have ended.
     if (heard && (!upstream.status->reachable || upstream.status->loading)) {
       continue;
--- a/Source/Core/Net/http1_client.cc
+++ b/Source/Core/Net/http1_client.cc
@@ -39,9 +39,8 @@
   std::string_view rest = field->substr(at + 8);
   auto seconds = ParseU64(rest.substr(0, rest.find_first_not_of("0123456789")));
   if (!seconds) return kDefaultKeepAlive;
-  return Milliseconds(
-      static_cast<int64_t>(static_cast<double>(*seconds) * 1000 *
-                           kKeepAliveShare));
+  return Milliseconds(static_cast<int64_t>(static_cast<double>(*seconds) *
+                                           1000 * kKeepAliveShare));
 }
 
 std::string Serialize(const HttpRequest& request, const Endpoint& endpoint) {
@@ -127,8 +126,8 @@
   bufferevent_setcb(bev_, OnReadable, nullptr, OnEvent, this);
   sockaddr_in address = endpoint_.ToSockaddr();
   ++client_->stats_.connections_opened;
-  return bufferevent_socket_connect(
-             bev_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+  return bufferevent_socket_connect(bev_, reinterpret_cast<sockaddr*>(&address),
+                                    sizeof(address)) == 0;
 }
 
 void Http1Connection::Begin(std::string bytes, const CallOptions& options,
@@ -263,11 +262,10 @@
   if (!Wrote() && end != CallEnd::kNotSent) end = CallEnd::kNotSent;
   // A request whose bytes are not all written would have its rest read as the
   // next request.
-  bool reusable =
-      end == CallEnd::kComplete && result_.head->keep_alive &&
-      !result_.unframed &&
-      evbuffer_get_length(bufferevent_get_output(bev_)) == 0 &&
-      evbuffer_get_length(bufferevent_get_input(bev_)) == 0;
+  bool reusable = end == CallEnd::kComplete && result_.head->keep_alive &&
+                  !result_.unframed &&
+                  evbuffer_get_length(bufferevent_get_output(bev_)) == 0 &&
+                  evbuffer_get_length(bufferevent_get_input(bev_)) == 0;
   if (reusable) {
     client_->Keep(self, KeepAliveOf(result_.head->headers));
   } else {
--- a/Source/Core/Net/http1_server.cc
+++ b/Source/Core/Net/http1_server.cc
@@ -42,9 +42,8 @@
     if (bev_ != nullptr) bufferevent_write(bev_, bytes.data(), bytes.size());
   }
   size_t pending_bytes() const {
-    return bev_ == nullptr
-               ? 0
-               : evbuffer_get_length(bufferevent_get_output(bev_));
+    return bev_ == nullptr ? 0
+                           : evbuffer_get_length(bufferevent_get_output(bev_));
   }
   // Ends the answer at work; the next request is parsed, or the connection
   // closed after what was written.
@@ -106,8 +105,8 @@
     request_.target = std::move(head.target);
     request_.headers = std::move(head.headers);
     request_keep_alive_ = head.keep_alive;
-    body_too_large_ = head.content_length.value_or(0) >
-                      server_->limits_.max_body_bytes;
+    body_too_large_ =
+        head.content_length.value_or(0) > server_->limits_.max_body_bytes;
     auto expect = request_.headers.Find("Expect");
     if (expect && !body_too_large_) Write("HTTP/1.1 100 Continue\r\n\r\n");
   };
@@ -244,7 +243,8 @@
     if (now - since_ > limits.idle_timeout) CloseGracefully();
     return;
   }
-  Milliseconds bound = head_seen_ ? limits.request_timeout : limits.head_timeout;
+  Milliseconds bound =
+      head_seen_ ? limits.request_timeout : limits.head_timeout;
   if (now - message_begin_ > bound) Refuse(408, "Request Timeout");
 }
 
--- a/Source/Core/Net/http1_server.h
+++ b/Source/Core/Net/http1_server.h
@@ -54,7 +54,9 @@
   size_t pending_bytes() const;
   /// Calls `callback` once when the caller leaves before the answer is
   /// complete.
-  void OnGone(std::function<void()> callback) { on_gone_ = std::move(callback); }
+  void OnGone(std::function<void()> callback) {
+    on_gone_ = std::move(callback);
+  }
 
  private:
   friend class Http1ServerConnection;
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -80,8 +80,8 @@
 
 bool FleetRequest::Understand() {
   const HttpRequest& request = exchange_->request();
-  route_ = routes_->Match(request.headers.Find("Host").value_or(""),
-                          request.Path());
+  route_ =
+      routes_->Match(request.headers.Find("Host").value_or(""), request.Path());
   if (route_ == nullptr) {
     Deny(404, "Not Found", "no route");
     return false;
@@ -130,8 +130,7 @@
   if (!service_->engine || !route_->generates) return out;
   uint64_t lowest = state_->versions.Lowest(fields_.model, now);
   std::erase_if(out, [&](FleetUpstream* it) {
-    uint64_t version =
-        UpstreamRegistry::ServedVersion(*it, fields_.model, now);
+    uint64_t version = UpstreamRegistry::ServedVersion(*it, fields_.model, now);
     if (version == 0 || version < lowest) return true;
     // What has been passed on came from one version of the weights.
     return events_ > 0 && weights_version_ && version != *weights_version_;
@@ -148,9 +147,9 @@
   request.home_region = state_->settings.region;
   request.region_of_zone = &state_->settings.region_of_zone;
   request.prompt_tokens = fields_.prompt_tokens;
-  request.usual_time = state_->MeanTime(
-      service_->name,
-      service_->engine ? kAssumedEngineTime : kAssumedPlainTime);
+  request.usual_time =
+      state_->MeanTime(service_->name, service_->engine ? kAssumedEngineTime
+                                                        : kAssumedPlainTime);
   request.waited = now - arrival_;
   request.begun = events_ > 0;
   Placement out = state_->policy->Choose(candidates, request, now);
@@ -443,9 +442,9 @@
 void FleetRequest::Refuse(const char* why,
                           std::optional<Milliseconds> retry_after) {
   ++state_->counters.refused;
-  exchange_->Reply(
-      503, "Service Unavailable",
-      platform::RefusalHeaders(fields_.request_id, retry_after), "");
+  exchange_->Reply(503, "Service Unavailable",
+                   platform::RefusalHeaders(fields_.request_id, retry_after),
+                   "");
   Finish("refused", 503, why);
 }
 
@@ -482,8 +481,8 @@
   PC_INFO(kRouter,
           "event=request_end id="
               << fields_.request_id << " outcome=" << outcome
-              << " status=" << status << " why=\"" << why << "\" route="
-              << (route_ == nullptr ? "-" : route_->name)
+              << " status=" << status << " why=\"" << why
+              << "\" route=" << (route_ == nullptr ? "-" : route_->name)
               << " ms=" << (now - arrival_).count() << " first_event_ms="
               << (events_ > 0 ? (first_event_at_ - arrival_).count() : -1)
               << " events=" << events_ << " longest_pause_ms="
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -82,8 +82,8 @@
   Milliseconds decided_wait_{0};
   Milliseconds decided_report_age_{0};
   std::set<std::string> tried_;
-  int attempts_ = 0;     // upstreams that the request was sent to
-  int unsent_ = 0;       // connections that could not be made
+  int attempts_ = 0;  // upstreams that the request was sent to
+  int unsent_ = 0;    // connections that could not be made
   Fate fate_ = Fate::kNotSent;
 
   bool streaming_ = false;  // the call at work answers with events
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -116,19 +116,19 @@
        &FleetCounters::resumed},
   };
   for (const Row& row : kRows) {
-    metrics_.AddCounter(std::string("primrosecove_router_") + row.name,
-                        row.help, {}, [this, row] {
-                          return static_cast<double>(
-                              state_.counters.*row.member);
-                        });
+    metrics_.AddCounter(
+        std::string("primrosecove_router_") + row.name, row.help, {},
+        [this, row] {
+          return static_cast<double>(state_.counters.*row.member);
+        });
   }
-  metrics_.AddGauge("primrosecove_router_config_version",
-                    "Version of the configuration in force", {}, [this] {
-                      return state_.routes == nullptr
-                                 ? 0.0
-                                 : static_cast<double>(
-                                       state_.routes->config().version);
-                    });
+  metrics_.AddGauge(
+      "primrosecove_router_config_version",
+      "Version of the configuration in force", {}, [this] {
+        return state_.routes == nullptr
+                   ? 0.0
+                   : static_cast<double>(state_.routes->config().version);
+      });
   metrics_.AddGauge(
       "primrosecove_router_config_age_seconds",
       "Time since the store last proved that configuration the newest", {},
@@ -163,9 +163,8 @@
                         metrics_.Render());
       });
   peers_ = std::make_unique<UdpSocket>(
-      loop_, [this](std::string_view bytes, const Endpoint&) {
-        TakeDatagram(bytes);
-      });
+      loop_,
+      [this](std::string_view bytes, const Endpoint&) { TakeDatagram(bytes); });
   BOOST_OUTCOME_TRY(callers_->Listen(settings.callers));
   BOOST_OUTCOME_TRY(ready_->Listen(settings.ready));
   BOOST_OUTCOME_TRY(metrics_server_->Listen(MetricsEndpoint(settings)));
@@ -202,8 +201,7 @@
 }
 
 void FleetRouter::TakeRequest(std::shared_ptr<Http1Exchange> exchange) {
-  auto request =
-      std::make_shared<FleetRequest>(&state_, std::move(exchange));
+  auto request = std::make_shared<FleetRequest>(&state_, std::move(exchange));
   state_.requests.emplace(request.get(), request);
   request->Start();
 }
@@ -236,9 +234,8 @@
     notice_due_ = true;
   } else if (const auto* named = std::get_if<NamedVersion>(&change)) {
     if (named->version > state_.versions.Newest(named->model)) {
-      PC_INFO(kRollout, "event=version_named model=" << named->model
-                                                     << " version="
-                                                     << named->version);
+      PC_INFO(kRollout, "event=version_named model="
+                            << named->model << " version=" << named->version);
       notice_due_ = true;
     }
     state_.versions.Name(named->model, named->version, !first_read_done_, now);
@@ -279,8 +276,8 @@
 void FleetRouter::TakeDatagram(std::string_view bytes) {
   auto message = DecodeMessage(bytes);
   if (!message) {
-    PC_WARN(kNet, "event=datagram_dropped why=\"" << message.error().message
-                                                  << "\"");
+    PC_WARN(kNet,
+            "event=datagram_dropped why=\"" << message.error().message << "\"");
     return;
   }
   const auto* status = std::get_if<UpstreamStatus>(&message.value());
@@ -351,8 +348,8 @@
 void FleetRouter::Reload() {
   auto settings = platform::ReadSettings(options_.settings_path);
   if (!settings) {
-    PC_ERROR(kMain, "event=reload_failed why=\"" << settings.error().message
-                                                 << "\"");
+    PC_ERROR(kMain,
+             "event=reload_failed why=\"" << settings.error().message << "\"");
     return;
   }
   state_.settings.bounds = settings.value().bounds;
--- a/Source/UnitTests/Fleet/decisions_test.cc
+++ b/Source/UnitTests/Fleet/decisions_test.cc
@@ -86,7 +86,8 @@
 }
 
 // The load: all hosts repeat as much as they may while callers come and go.
-TEST_CASE("repeats of all routers stay within the fleet's bound in any window") {
+TEST_CASE(
+    "repeats of all routers stay within the fleet's bound in any window") {
   struct Row {
     int routers;
     int requests_per_second;  // of each router
@@ -111,12 +112,13 @@
       // Quiet spells make the earned share shrink while repeats go on.
       bool quiet = tick / 100 % 2 == 1;
       for (RetryAllowance& it : routers) {
-        int n = quiet ? 0
-                      : static_cast<int>(
-                            random() % (2 * static_cast<uint32_t>(
-                                                row.requests_per_second) *
-                                            kTickMs / 1000 +
-                                        1));
+        int n = quiet
+                    ? 0
+                    : static_cast<int>(
+                          random() %
+                          (2 * static_cast<uint32_t>(row.requests_per_second) *
+                               kTickMs / 1000 +
+                           1));
         for (int i = 0; i < n; ++i) it.OnRequest(now);
         sent += n;
         while (it.TryRepeat(now)) ++again;
--- a/Source/UnitTests/Fleet/piece_planner_test.cc
+++ b/Source/UnitTests/Fleet/piece_planner_test.cc
@@ -47,8 +47,8 @@
       for (const FleetMember& self : members) {
         PieceSources plan =
             PlanPiece(ViewOf(self.id, members, none), n, Milliseconds(0));
-        bool has_source = plan.origin || !plan.zone_peers.empty() ||
-                          !plan.far_peers.empty();
+        bool has_source =
+            plan.origin || !plan.zone_peers.empty() || !plan.far_peers.empty();
         REQUIRE(has_source);
         drawn += plan.origin ? 1 : 0;
         bool imports = plan.origin || !plan.far_peers.empty();
--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -1,5 +1,5 @@
-// A fleet's router against stand-ins of the store and of upstreams, with induced
-// failures.
+// A fleet's router against stand-ins of the store and of upstreams, with
+// induced failures.
 #include "Core/Router/fleet_router.h"
 
 #include <catch2/catch.hpp>
@@ -23,12 +23,11 @@
 nlohmann::json RouteJson(const char* prefix, const char* type,
                          const char* service, int attempts) {
   bool stream = std::string(type) == "streaming";
-  return {{"name", prefix},       {"host", "h.example"},
-          {"prefix", prefix},     {"route_type", type},
-          {"timeout_ms", 2000},   {"latency_target_ms", 500},
-          {"priority", 1},        {"service", service},
-          {"max_attempts", attempts}, {"resumable", stream},
-          {"sticky", stream},     {"public", false}};
+  return {
+      {"name", prefix},      {"host", "h.example"}, {"prefix", prefix},
+      {"route_type", type},  {"timeout_ms", 2000},  {"latency_target_ms", 500},
+      {"priority", 1},       {"service", service},  {"max_attempts", attempts},
+      {"resumable", stream}, {"sticky", stream},    {"public", false}};
 }
 
 // One router before two engines and two plain services.
@@ -56,8 +55,8 @@
     settings.bounds.revoke = Milliseconds(1500);
     settings.bounds.config_apply = Milliseconds(600);
     callers = settings.callers;
-    router = std::make_unique<FleetRouter>(&loop, FleetRouterOptions{},
-                                           settings);
+    router =
+        std::make_unique<FleetRouter>(&loop, FleetRouterOptions{}, settings);
     if (!router->Start()) FAIL("router");
     RunUntil(&loop, [&] {
       return router->Ready() && router->registry().all().size() == 4;
@@ -76,8 +75,10 @@
              {{{"name", "llm"},
                {"max_conns", 50},
                {"runtime",
-                {{"slots", 4}, {"models", {{{"name", "m"}, {"warm_s", 0.01}}}},
-                 {"chunks", 4}, {"chunk_bytes", 512}}}},
+                {{"slots", 4},
+                 {"models", {{{"name", "m"}, {"warm_s", 0.01}}}},
+                 {"chunks", 4},
+                 {"chunk_bytes", 512}}}},
               {{"name", "desk"}, {"max_conns", 50}}}},
             {"tenants", {{{"name", "w1"}, {"api_keys", {kKey}}}}},
             {"limits", {{"idle_timeout_ms", 15000}}}};
@@ -160,15 +161,14 @@
   return out;
 }
 
-TEST_CASE("a fleet's router answers truthfully under each fault",
-          "[fleet]") {
+TEST_CASE("a fleet's router answers truthfully under each fault", "[fleet]") {
   struct Row {
     const char* name;
     const char* path;
     EngineFault fault;
-    int count;     // at each upstream
-    int status;    // 0: the answer is broken off
-    size_t runs;   // at all upstreams
+    int count;    // at each upstream
+    int status;   // 0: the answer is broken off
+    size_t runs;  // at all upstreams
   };
   const Row rows[] = {
       {"a stream", "/stream/1", EngineFault::kNone, 0, 200, 1},
@@ -238,8 +238,7 @@
   }
 }
 
-TEST_CASE("keys run nothing once the configuration may be too old",
-          "[fleet]") {
+TEST_CASE("keys run nothing once the configuration may be too old", "[fleet]") {
   struct Row {
     const char* name;
     StoreFault fault;
@@ -301,9 +300,8 @@
   fleet.store.SetFault(StoreFault::kNone);
   RunUntil(&fleet.loop,
            [&] { return fleet.Ask("/moved/1").head->status == 200; });
-  RunUntil(&fleet.loop, [&] {
-    return !fleet.router->registry().all().contains("plain-0");
-  });
+  RunUntil(&fleet.loop,
+           [&] { return !fleet.router->registry().all().contains("plain-0"); });
   CHECK(fleet.router->registry().all().size() == 3);
 }
 
@@ -313,9 +311,8 @@
   fleet.store.Put("servers/plain-0", "\xff not json");
   fleet.store.Put("servers/stranger", R"({"service":3})");
   fleet.store.Put("somebody/else", "x");
-  RunUntil(&fleet.loop, [&] {
-    return !fleet.router->registry().all().contains("plain-0");
-  });
+  RunUntil(&fleet.loop,
+           [&] { return !fleet.router->registry().all().contains("plain-0"); });
   for (int i = 0; i < 4; ++i) {
     CHECK(fleet.Ask("/once/1").head->status == 200);
   }
@@ -328,8 +325,8 @@
     const char* name;
     bool says_so;
   };
-  for (const Row& row : {Row{"says it is leaving", true},
-                         Row{"just leaves the list", false}}) {
+  for (const Row& row :
+       {Row{"says it is leaving", true}, Row{"just leaves the list", false}}) {
     INFO(row.name);
     Fleet fleet(77);
     // Long enough that the stream is cut if its upstream's end on the list
