--- a/Source/Core/Agent/weight_stager.cc
+++ b/Source/Core/Agent/weight_stager.cc
@@ -20,9 +20,9 @@
 constexpr Milliseconds kStall{1500};
 constexpr Milliseconds kAvoidFor{4000};
 constexpr Milliseconds kRefreshPeriod{250};
-constexpr Milliseconds kRetryPause{150};
+constexpr Milliseconds kRetryPause{60};
 // The manifest's drawer gets this many questions before another draws it.
-constexpr int kManifestTriesAtPeer = 8;
+constexpr int kManifestTriesAtPeer = 16;
 // An order without any effect in this time is given again.
 constexpr Milliseconds kOrderAgain{1200};
 constexpr size_t kNumberBytes = 4;
@@ -31,6 +31,8 @@
 constexpr size_t kMaxUploadsWaiting = 3;
 // About the time in which a busy source sends a piece.
 constexpr Milliseconds kBusyPause{30};
+// Once this share of a version's pieces is known somewhere, the rest is overdue.
+constexpr double kMostPieces = 0.7;
 // Pieces are told together, to all who follow.
 constexpr Milliseconds kNewsDelay{25};
 // A piece that is in the zone for so long is asked for out of turn.
@@ -169,7 +171,7 @@
   plan_.clear();
   seen_at_.clear();
   news_.clear();
-  begun_at_ = EventLoop::Now();
+  mostly_known_at_.reset();
   fetch_pacer_ = FetchPacer();
   origin_under_way_.clear();
   to_stage_.clear();
@@ -279,10 +281,9 @@
   plan_.clear();
   if (!copy_->has_digests() || local_pending_ > 0) return;
   PieceView view = View();
-  auto since_begin =
-      std::chrono::duration_cast<Milliseconds>(EventLoop::Now() - begun_at_);
+  Milliseconds overdue = Overdue();
   for (uint32_t n : copy_->Missing()) {
-    plan_[n] = PlanPiece(view, n, since_begin);
+    plan_[n] = PlanPiece(view, n, overdue);
   }
   for (const FleetMember& it : notice_->members) {
     bool useful = !it.leaving || it.whole_version == copy_->version();
@@ -293,6 +294,22 @@
   FetchFromOrigin();
 }
 
+Milliseconds WeightStager::Overdue() {
+  SteadyTime now = EventLoop::Now();
+  if (!mostly_known_at_) {
+    std::set<uint32_t> known;
+    for (auto& [id, feed] : feeds_) {
+      known.insert(feed->pieces.begin(), feed->pieces.end());
+    }
+    for (uint32_t n = 0; n < copy_->size(); ++n) {
+      if (copy_->Has(n)) known.insert(n);
+    }
+    if (known.size() < copy_->size() * kMostPieces) return Milliseconds(0);
+    mostly_known_at_ = now;
+  }
+  return std::chrono::duration_cast<Milliseconds>(now - *mostly_known_at_);
+}
+
 void WeightStager::Follow(const FleetMember& member) {
   HttpRequest request;
   request.target = PathOf(copy_->model(), copy_->version()) + "?feed=1";
@@ -440,6 +457,11 @@
   }
 }
 
+void WeightStager::RetryOrigin() {
+  if (origin_timer_.pending()) return;
+  origin_timer_ = loop_->After(kRetryPause, [this] { FetchFromOrigin(); });
+}
+
 void WeightStager::AddPiece(uint32_t n, std::string bytes, uint64_t* counter) {
   *counter += bytes.size();
   if (!copy_->has_digests() || copy_->Has(n)) return;
--- a/Source/Core/Agent/weight_stager.h
+++ b/Source/Core/Agent/weight_stager.h
@@ -71,6 +71,7 @@
   void ReadLocal();
   void TakeLocal(uint32_t n, Result<std::string> bytes);
   void Plan();
+  Milliseconds Overdue();
   void Follow(const FleetMember& member);
   void TakeFeed(const std::string& id, std::string_view bytes);
   void FetchNext();
@@ -80,6 +81,7 @@
   void FetchFromPeer(const FleetMember& member, uint32_t n);
   void EndFetch(uint32_t n, const CallResult& result);
   void FetchFromOrigin();
+  void RetryOrigin();
   void Avoid(const std::string& id, const char* why);
   void AddPiece(uint32_t n, std::string bytes, uint64_t* counter);
   void TellListeners(uint32_t n);
@@ -122,7 +124,7 @@
   std::map<uint32_t, std::unique_ptr<Fetch>> fetches_;  ///< By piece.
   std::map<uint32_t, PieceSources> plan_;               ///< Of missing pieces.
   std::map<uint32_t, SteadyTime> seen_at_;              ///< First in this zone.
-  SteadyTime begun_at_;
+  std::optional<SteadyTime> mostly_known_at_;
   std::string news_;  ///< Pieces that followers are to be told of.
   FetchPacer fetch_pacer_;
   UploadPacer upload_pacer_;
@@ -150,6 +152,7 @@
   Timer retry_timer_;
   Timer fetch_timer_;
   Timer news_timer_;
+  Timer origin_timer_;
   Timer upload_timer_;
 };
 
--- a/Source/Core/Fleet/piece_planner.cc
+++ b/Source/Core/Fleet/piece_planner.cc
@@ -7,12 +7,17 @@
 namespace primrosecove {
 namespace {
 
-// A copy takes about three seconds from an origin with the hosts' link rate. A
-// member whose piece has not come by then sits behind a narrowed link.
-constexpr Milliseconds kDrawPatience{2800};
-constexpr Milliseconds kDrawStep{300};
-// The next in a zone's rank brings a piece in itself after this time.
-constexpr Milliseconds kImportPatience{1800};
+// A piece that is overdue for longer sits behind a narrowed link; the next in
+// rank takes it, then the one after, and no more, because what the origin sends
+// twice delays the rest.
+constexpr Milliseconds kStepIn{300};
+constexpr size_t kMostStepIn = 2;
+
+// Whether the member of that rank should act on its own.
+bool StepsIn(size_t rank, Milliseconds overdue) {
+  if (rank == 0) return true;
+  return rank <= kMostStepIn && overdue >= kStepIn * static_cast<int>(rank);
+}
 
 using Members = std::vector<const FleetMember*>;
 
@@ -87,7 +92,7 @@
 }  // namespace
 
 PieceSources PlanPiece(const PieceView& view, uint32_t n,
-                       Milliseconds since_begin) {
+                       Milliseconds overdue) {
   Sources sources = Sort(view);
   std::string item = ItemOf(view) + "/" + std::to_string(n);
   PieceSources out;
@@ -95,9 +100,7 @@
   Append(sources.zone_members, view.self, &out.zone_peers);
   if (!sources.zone_holders.empty()) return out;
   out.zone_rank = RankOf(sources.zone_members, item, view.self);
-  bool imports =
-      since_begin >= kImportPatience * static_cast<int>(out.zone_rank);
-  if (!imports) return out;
+  if (!StepsIn(out.zone_rank, overdue)) return out;
   for (const FleetMember* it : sources.other_holders) {
     out.far_peers.push_back(it->id);
   }
@@ -105,10 +108,7 @@
   for (const FleetMember* it : sources.all) {
     if (it->zone != ZoneOf(view)) out.far_peers.push_back(it->id);
   }
-  size_t rank = RankOf(sources.all, item, view.self);
-  out.origin =
-      rank == 0 ||
-      since_begin >= kDrawPatience + kDrawStep * static_cast<int>(rank - 1);
+  out.origin = StepsIn(RankOf(sources.all, item, view.self), overdue);
   return out;
 }
 
--- a/Source/Core/Fleet/piece_planner.h
+++ b/Source/Core/Fleet/piece_planner.h
@@ -35,11 +35,11 @@
 /// Plans one piece. Members of the own zone are its sources; without one that
 /// serves the version, one of the zone brings the piece into it from another
 /// zone, and one member of all draws it from the origin, each by rendezvous
-/// hash: a piece leaves the origin once and enters each zone once. The next in
-/// rank step in when `since_begin`, the time since the copy was begun, shows
-/// that those before them don't deliver. Thread safe.
-PieceSources PlanPiece(const PieceView& view, uint32_t n,
-                       Milliseconds since_begin);
+/// hash: a piece leaves the origin once and enters each zone once. The next two
+/// in rank step in when most other pieces have come and this one has not:
+/// `overdue` is the time since then. An origin that is away makes nothing
+/// overdue. Thread safe.
+PieceSources PlanPiece(const PieceView& view, uint32_t n, Milliseconds overdue);
 
 /// How many of the zone must be seen to have a piece before one of a given rank
 /// asks for it: each of them hands it on to two, so that no single link carries
--- a/Source/Core/Fleet/placement_policy.cc
+++ b/Source/Core/Fleet/placement_policy.cc
@@ -9,8 +9,8 @@
 // Another zone or region is taken when it saves at least this much expected
 // wait: a request's bytes cost more there, and its answer takes a little
 // longer.
-constexpr double kOtherZoneMs = 15;
-constexpr double kOtherRegionMs = 30;
+constexpr double kOtherZoneMs = 40;
+constexpr double kOtherRegionMs = 90;
 constexpr double kMsPerSecond = 1000;
 // Requests that may wait at a full upstream under the baselines, as a share of
 // its slots.
--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -27,7 +27,8 @@
 }  // namespace
 
 int FleetUpstream::ExpectedLoad(Moment now) const {
-  if (now - reported_at > kReportLifetime) return own_in_flight;
+  // Other routers are likely to send as much as this one.
+  if (now - reported_at > kReportLifetime) return own_in_flight * routers;
   int others = std::max(reported_load - own_at_report, 0);
   return others + own_in_flight;
 }
@@ -84,6 +85,7 @@
                                << " weights=" << status.whole_version
                                << " staged=" << status.staged_version);
     }
+    upstream.routers = std::max<int>(static_cast<int>(status.routers_heard), 1);
     upstream.status = status;
     upstream.status_at = now;
     upstream.reported_load = static_cast<int>(status.running + status.waiting);
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -31,6 +31,7 @@
   int own_at_report = 0;
   int reported_load = 0;  ///< Running and waiting, of all routers.
   Moment reported_at{-1'000'000};
+  int routers = 1;  ///< That send to it, as its agent last counted.
   // Failures since the last success, and until when it gets no work for them.
   int failures_in_row = 0;
   Moment ejected_until{-1'000'000};
--- a/Source/Core/Net/http1_calls.cc
+++ b/Source/Core/Net/http1_calls.cc
@@ -3,12 +3,20 @@
 #include <utility>
 
 namespace primrosecove {
+namespace {
+
+// Hosts are milliseconds apart. One that has come back should be found at
+// once, not when a dropped opening packet is repeated.
+constexpr Milliseconds kConnectTimeout{300};
+
+}  // namespace
 
 void Http1Calls::Send(const Endpoint& endpoint, const HttpRequest& request,
                       Milliseconds bound, Callback callback) {
   uint64_t number = next_++;
   CallOptions options;
   options.timeout = bound;
+  options.connect_timeout = kConnectTimeout;
   CallEvents events;
   events.on_end = [this, number,
                    callback = std::move(callback)](CallResult result) {
--- a/Source/Core/Net/http1_parser.cc
+++ b/Source/Core/Net/http1_parser.cc
@@ -28,7 +28,7 @@
 }  // namespace
 
 const http_parser_settings& Http1Parser::Settings() {
-  static const http_parser_settings settings = [] {
+  static const http_parser_settings kSettings = [] {
     http_parser_settings out;
     http_parser_settings_init(&out);
     out.on_message_begin = OnMessageBegin;
@@ -41,7 +41,7 @@
     out.on_message_complete = OnMessageComplete;
     return out;
   }();
-  return settings;
+  return kSettings;
 }
 
 Http1Parser::Http1Parser(Kind kind, uint32_t max_head_bytes, Events events)
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -18,7 +18,7 @@
 constexpr int kMaxUnsent = 3;
 // An upstream that sends nothing to anybody for so long has stopped: an engine
 // with running requests sends events several times a second.
-constexpr Milliseconds kSilence{1100};
+constexpr Milliseconds kSilence{900};
 // An upstream that has left the list is not watched any more.
 constexpr Milliseconds kSilenceOfLeaving{2000};
 // An idempotent request is sent again after this multiple of its service's
@@ -31,8 +31,11 @@
 // A caller that is refused for want of a fresh configuration may find another
 // router at once.
 constexpr Milliseconds kElsewhere{200};
-// Refusals under load spread their callers' returns over this time.
-constexpr double kSpreadMs = 700;
+// Callers that are refused under load come back once, so they are asked to wait
+// until a loading engine or a newcomer is likely to have room, and spread over
+// some time. Callers heed a third of what is left of their wait, about 2 s.
+constexpr Milliseconds kLoadPause{700};
+constexpr double kSpreadMs = 1200;
 
 constexpr int kStatusOk = 200;
 constexpr int kStatusMultipleChoices = 300;
@@ -172,7 +175,7 @@
   }
   if (fate_ == Fate::kMayHaveRun) return Fail(502, "Bad Gateway", why);
   auto spread = Milliseconds(static_cast<int64_t>(state_->Draw() * kSpreadMs));
-  Refuse(why, retry_after + spread);
+  Refuse(why, std::max(retry_after, kLoadPause) + spread);
 }
 
 void FleetRequest::Send(const Placement& placement) {
--- a/Tools/lint.py
+++ b/Tools/lint.py
@@ -17,7 +17,8 @@
 
 def main():
     build = sys.argv[1]
-    sources = sys.argv[2:] or sorted(map(str, (ROOT / "Source").rglob("*.cc")))
+    sources = sys.argv[2:] or sorted(
+        str(it) for folder in ("Source", "platform") for it in (ROOT / folder).rglob("*.cc"))
     failed = 0
     with concurrent.futures.ThreadPoolExecutor(os.cpu_count()) as pool:
         for code, output in pool.map(lambda it: lint(build, it), sources):
