--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -33,8 +33,8 @@
   return others + own_in_flight;
 }
 
-void UpstreamRegistry::Apply(const UpstreamChange& change, bool settled,
-                             Moment now) {
+void UpstreamRegistry::Apply(const UpstreamChange& change,
+                             Moment reachable_since, Moment now) {
   auto it = upstreams_.find(change.id);
   if (change.record) {
     FleetUpstream& upstream = upstreams_[change.id];
@@ -43,10 +43,10 @@
     bool news = it == upstreams_.end() || restarted ||
                 upstream.record.leaving != change.record->leaving ||
                 upstream.record.weights != change.record->weights ||
-                upstream.lapsed_at.has_value();
+                upstream.lapses_at.has_value();
     if (restarted) upstream.status.reset();
     upstream.record = *change.record;
-    upstream.lapsed_at.reset();
+    upstream.lapses_at.reset();
     if (!news) return;
     uint64_t version = upstream.record.weights.empty()
                            ? 0
@@ -60,13 +60,15 @@
     return;
   }
   if (it == upstreams_.end()) return;
+  Moment lapses_at = reachable_since + kLapseGrace;
+  bool settled = now >= lapses_at;
   PC_INFO(kMembership, "event=upstream_unregistered id="
                            << change.id << " settled=" << settled << " why=\""
                            << change.why_unusable << "\"");
   if (settled || it->second.record.leaving) {
     upstreams_.erase(it);
-  } else if (!it->second.lapsed_at) {
-    it->second.lapsed_at = now;
+  } else {
+    it->second.lapses_at = lapses_at;
   }
 }
 
@@ -143,7 +145,7 @@
 
 void UpstreamRegistry::Expire(Moment now) {
   std::erase_if(upstreams_, [now](const auto& it) {
-    bool over = it.second.lapsed_at && now - *it.second.lapsed_at > kLapseGrace;
+    bool over = it.second.lapses_at && now >= *it.second.lapses_at;
     if (over) {
       PC_INFO(kMembership, "event=upstream_expired id=" << it.first);
     }
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -20,9 +20,8 @@
 /// One upstream as a router sees it.
 struct FleetUpstream {
   UpstreamRecord record;
-  /// The last usable registration ended while the store was away or at this
-  /// time; work stops when the grace for lapsed registrations is over.
-  std::optional<Moment> lapsed_at;
+  /// Its registration ended while the store was away; work stops then.
+  std::optional<Moment> lapses_at;
   /// From the agent beside it, if that is heard.
   std::optional<UpstreamStatus> status;
   Moment status_at{0};
@@ -53,9 +52,10 @@
   /// A status older than this says nothing any more.
   static constexpr Milliseconds kStatusLifetime{1500};
 
-  /// Takes one change from the store. `settled` is false while the store has
-  /// only just come back, when a missing registration may still return.
-  void Apply(const UpstreamChange& change, bool settled, Moment now);
+  /// Takes one change from the store, which can be reached since
+  /// `reachable_since`: until kLapseGrace after that, a registration that has
+  /// ended may still return.
+  void Apply(const UpstreamChange& change, Moment reachable_since, Moment now);
   void TakeStatus(const UpstreamStatus& status, Moment now);
   void TakeAnsweredLoad(const std::string& id, const AnsweredLoad& load,
                         Moment now);
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -28,9 +28,6 @@
 constexpr Milliseconds kServeWhileStopping{2600};
 // Left to the process's end after its last answer.
 constexpr Milliseconds kStopMargin{400};
-// A registration that is missing right after the store's return may still come
-// back.
-constexpr Milliseconds kSettle{2000};
 // A connection to a caller and one to an upstream for each request, and the
 // platform keeps 200 descriptors for files.
 constexpr size_t kReservedDescriptors = 250;
@@ -229,8 +226,7 @@
   if (const auto* config = std::get_if<FleetConfig>(&change)) {
     TakeConfig(*config);
   } else if (const auto* upstream = std::get_if<UpstreamChange>(&change)) {
-    bool settled = now - reachable_since_ > kSettle;
-    state_.registry.Apply(*upstream, settled, now);
+    state_.registry.Apply(*upstream, reachable_since_, now);
     notice_due_ = true;
   } else if (const auto* named = std::get_if<NamedVersion>(&change)) {
     if (named->version > state_.versions.Newest(named->model)) {
