--- a/Source/Core/Agent/weight_stager.cc
+++ b/Source/Core/Agent/weight_stager.cc
@@ -31,7 +31,8 @@
 constexpr size_t kMaxUploadsWaiting = 3;
 // About the time in which a busy source sends a piece.
 constexpr Milliseconds kBusyPause{30};
-// Once this share of a version's pieces is known somewhere, the rest is overdue.
+// Once this share of a version's pieces is known somewhere, the rest is
+// overdue.
 constexpr double kMostPieces = 0.7;
 // Pieces are told together, to all who follow.
 constexpr Milliseconds kNewsDelay{25};
--- a/Source/Core/Fleet/version_floor.cc
+++ b/Source/Core/Fleet/version_floor.cc
@@ -6,8 +6,10 @@
 namespace {
 
 // What passes between the store's acknowledgement and this process's learning
-// of it, and between sending a request and its first token.
-constexpr Milliseconds kMargin{1200};
+// of it: the pause between two watches, an answer, and a turn of the loop.
+constexpr Milliseconds kLearnLag{600};
+// Usually passes between sending a request and its first token.
+constexpr Milliseconds kUsualStart{500};
 // A host that has just started is not yet held to the bound for about as long.
 constexpr Milliseconds kAfterStart{2000};
 // Versions that no request can still depend on are forgotten.
@@ -19,22 +21,33 @@
                         bool first_read, Milliseconds now) {
   std::vector<Named>& named = by_model_[model];
   if (!named.empty() && version <= named.back().version) return;
-  Milliseconds binding = now + (first_read ? kAfterStart : bound_ - kMargin);
-  named.push_back({version, now, binding});
+  Milliseconds bound = now + (first_read ? kAfterStart : bound_ - kLearnLag);
+  named.push_back({version, now, bound - kUsualStart, bound});
   if (named.size() > kMaxNamed) named.erase(named.begin());
 }
 
-uint64_t VersionFloor::Lowest(const std::string& model,
-                              Milliseconds now) const {
+template <typename Member>
+uint64_t VersionFloor::LowestBy(const std::string& model, Milliseconds now,
+                                Member member) const {
   auto it = by_model_.find(model);
   uint64_t out = 0;
   if (it == by_model_.end()) return out;
   for (const Named& named : it->second) {
-    if (now >= named.binding) out = std::max(out, named.version);
+    if (now >= named.*member) out = std::max(out, named.version);
   }
   return out;
 }
 
+uint64_t VersionFloor::Lowest(const std::string& model,
+                              Milliseconds now) const {
+  return LowestBy(model, now, &Named::binding);
+}
+
+uint64_t VersionFloor::LowestToBegin(const std::string& model,
+                                     Milliseconds now) const {
+  return LowestBy(model, now, &Named::bound);
+}
+
 uint64_t VersionFloor::Newest(const std::string& model) const {
   auto it = by_model_.find(model);
   return it == by_model_.end() ? 0 : it->second.back().version;
--- a/Source/Core/Fleet/version_floor.h
+++ b/Source/Core/Fleet/version_floor.h
@@ -21,6 +21,9 @@
             Milliseconds now);
   /// The lowest version that a request may begin on.
   uint64_t Lowest(const std::string& model, Milliseconds now) const;
+  /// The lowest version on which a request that was sent earlier and has not
+  /// begun may be left to begin.
+  uint64_t LowestToBegin(const std::string& model, Milliseconds now) const;
   /// The newest named version, or 0.
   uint64_t Newest(const std::string& model) const;
   /// How long ago the newest version was learnt of.
@@ -30,8 +33,13 @@
   struct Named {
     uint64_t version;
     Milliseconds learnt;
-    Milliseconds binding;  // from when on older versions are barred
+    Milliseconds binding;  // from when on nothing is sent to older versions
+    Milliseconds bound;    // from when on nothing begins on older versions
   };
+  template <typename Member>
+  uint64_t LowestBy(const std::string& model, Milliseconds now,
+                    Member member) const;
+
   Milliseconds bound_;
   std::map<std::string, std::vector<Named>> by_model_;
 };
--- a/Source/Core/Net/http1_server.cc
+++ b/Source/Core/Net/http1_server.cc
@@ -388,6 +388,13 @@
   for (auto& it : idle) it->CloseGracefully();
 }
 
+size_t Http1Server::unsent_bytes() const {
+  size_t out = 0;
+  for (auto& [raw, connection] : connections_)
+    out += connection->pending_bytes();
+  return out;
+}
+
 void Http1Server::Sweep() {
   SteadyTime now = EventLoop::Now();
   std::vector<std::shared_ptr<Http1ServerConnection>> all;
--- a/Source/Core/Net/http1_server.h
+++ b/Source/Core/Net/http1_server.h
@@ -103,6 +103,8 @@
   /// Requests handed out and not finished.
   size_t in_flight() const { return in_flight_; }
   size_t connections() const { return connections_.size(); }
+  /// Bytes of answers that have not been passed to the callers' connections.
+  size_t unsent_bytes() const;
 
  private:
   friend class Http1ServerConnection;
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -191,14 +191,15 @@
   fields.deadline = std::max(TimeLeft(), Milliseconds(1));
   fields.upstream_id = upstream_id_;
   fields.workspace = workspace_;
+  attempt_version_ = 0;
   if (service_->engine && route_->generates) {
     uint64_t lowest = state_->versions.Lowest(fields_.model, now);
-    uint64_t served =
+    attempt_version_ =
         UpstreamRegistry::ServedVersion(*upstream, fields_.model, now);
     if (events_ > 0) {
       fields.weights_version = weights_version_;
     } else if (lowest > 0 && lowest == state_->versions.Newest(fields_.model)) {
-      fields.weights_version = served;
+      fields.weights_version = attempt_version_;
     }
   }
   fields.last_event_id = last_event_ ? last_event_ : fields_.last_event_id;
@@ -387,8 +388,9 @@
 }
 
 void FleetRequest::CheckUpstream(Moment now) {
-  if (ended_ || call_ == nullptr || !route_->Repeatable()) return;
-  if (attempts_ >= route_->max_attempts) return;
+  if (ended_ || call_ == nullptr) return;
+  if (IsTooLateToBegin(now)) return TakeBack();
+  if (!route_->Repeatable() || attempts_ >= route_->max_attempts) return;
   const FleetUpstream* upstream = state_->registry.Find(upstream_id_);
   bool lost = false;
   const char* why = "upstream is silent";
@@ -423,6 +425,23 @@
   Dispatch();
 }
 
+// Whether the request still waits at an engine whose weights are about to be
+// too old to begin on.
+bool FleetRequest::IsTooLateToBegin(Moment now) const {
+  if (attempt_version_ == 0 || events_ > 0) return false;
+  return attempt_version_ < state_->versions.LowestToBegin(fields_.model, now);
+}
+
+void FleetRequest::TakeBack() {
+  PC_INFO(kRouter, "event=attempt_abandoned id="
+                       << fields_.request_id << " upstream=" << upstream_id_
+                       << " events=0 why=\"weights too old to begin on\"");
+  call_.reset();
+  ReleaseUpstream(true);
+  fate_ = Fate::kMayHaveRun;
+  RetryOrFail("weights too old to begin on");
+}
+
 void FleetRequest::HandleTimeout() {
   if (ended_) return;
   if (call_ != nullptr) fate_ = Fate::kMayHaveRun;
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -52,6 +52,8 @@
   void GiveUp(const char* why, Milliseconds retry_after);
   bool MayTryAgain();
   void ReleaseUpstream(bool ok);
+  bool IsTooLateToBegin(Moment now) const;
+  void TakeBack();
   void HandleTimeout();
   void HandleGone();
   Milliseconds TimeLeft() const;
@@ -76,7 +78,8 @@
   std::string upstream_id_;
   std::string last_upstream_ = "-";
   Moment sent_at_{0};
-  Moment heard_at_{0};  // the last bytes of the attempt at work
+  uint64_t attempt_version_ = 0;  // weights at the upstream; 0: none needed
+  Moment heard_at_{0};            // the last bytes of the attempt at work
   // What the last choice of an upstream rested on, for the log.
   int decided_load_ = 0;
   Milliseconds decided_wait_{0};
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -32,6 +32,8 @@
 // platform keeps 200 descriptors for files.
 constexpr size_t kReservedDescriptors = 250;
 constexpr size_t kDescriptorsPerCaller = 2;
+// How long callers get to take the last answers and close.
+constexpr Milliseconds kLastAnswers{400};
 // What the configuration says before the first one is read.
 constexpr Http1Server::Limits kOwnPagesLimits = {.max_connections = 64};
 
@@ -356,6 +358,7 @@
   if (state_.stopping) return;
   state_.stopping = true;
   stop_begun_ = state_.Now();
+  last_busy_ = stop_begun_;
   callers_->BeginDrain();
   PC_INFO(kMain, "event=stopping in_flight=" << callers_->in_flight());
   stop_timer_ = loop_->Every(kStopCheckPeriod, [this] { CheckStop(); });
@@ -368,10 +371,14 @@
     state_.closing = true;
     callers_->CloseIdle();
   }
+  if (callers_->in_flight() > 0 || callers_->unsent_bytes() > 0) {
+    last_busy_ = state_.Now();
+  }
   bool late = passed > state_.settings.bounds.stop_grace - kStopMargin;
-  if (callers_->in_flight() > 0 && !late) return;
-  if (callers_->connections() > 0 && passed < kServeWhileStopping + kStopMargin)
-    return;
+  // The last answers are on their way until their callers have closed.
+  bool done =
+      callers_->connections() == 0 || state_.Now() - last_busy_ > kLastAnswers;
+  if (!done && !late) return;
   loop_->Stop();
 }
 
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -67,6 +67,7 @@
   bool was_ready_ = false;
   Moment reachable_since_{0};
   Moment stop_begun_{0};
+  Moment last_busy_{0};  ///< While stopping.
   Timer notice_timer_;
   Timer check_timer_;
   Timer stop_timer_;
--- a/Source/UnitTests/Fleet/decisions_test.cc
+++ b/Source/UnitTests/Fleet/decisions_test.cc
@@ -155,11 +155,10 @@
     std::string all = text + tail;
     std::string_view bytes = all;
     for (size_t at = 0; at < all.size(); at += step) {
-      framer.Push(bytes.substr(at, step),
-                  [&](const StreamEvent& event) {
-                    out += event.text;
-                    ids.push_back(event.id.value_or(0));
-                  });
+      framer.Push(bytes.substr(at, step), [&](const StreamEvent& event) {
+        out += event.text;
+        ids.push_back(event.id.value_or(0));
+      });
     }
     REQUIRE(out == text);
     REQUIRE(ids == std::vector<uint64_t>{1, 2, 3});
@@ -174,13 +173,17 @@
   floor.Name("m", 3, false, Milliseconds(24'000));
   struct Row {
     int64_t at_ms;
-    uint64_t lowest;
+    uint64_t lowest;           // that a request may be sent to
+    uint64_t lowest_to_begin;  // that a waiting request may begin on
   };
-  const Row rows[] = {{0, 0},      {3000, 1},   {20'000, 1}, {26'700, 1},
-                      {26'900, 2}, {28'000, 2}, {30'900, 3}};
+  const Row rows[] = {{0, 0, 0},      {3000, 1, 1},   {20'000, 1, 1},
+                      {26'800, 1, 1}, {27'000, 2, 1}, {27'400, 2, 2},
+                      {28'000, 2, 2}, {31'000, 3, 2}, {31'400, 3, 3}};
   for (const Row& row : rows) {
     INFO(row.at_ms);
     CHECK(floor.Lowest("m", Milliseconds(row.at_ms)) == row.lowest);
+    CHECK(floor.LowestToBegin("m", Milliseconds(row.at_ms)) ==
+          row.lowest_to_begin);
   }
   CHECK(floor.Newest("m") == 3);
   CHECK(floor.Lowest("other", Milliseconds(0)) == 0);
--- a/Source/UnitTests/Net/http1_test.cc
+++ b/Source/UnitTests/Net/http1_test.cc
@@ -212,6 +212,31 @@
   CHECK(Ask(&loop, &client, TestEndpoint(97, 9), "1").end == CallEnd::kNotSent);
 }
 
+// A process that ends when no request is under way would cut this answer.
+TEST_CASE("an answer is not sent when its request has ended", "[http1]") {
+  EventLoop loop;
+  constexpr size_t kBytes = 3 << 20;
+  Http1Server server(&loop, {}, [](const auto& exchange) {
+    exchange->Reply(200, "OK", {}, std::string(kBytes, 'a'));
+  });
+  REQUIRE(server.Listen(TestEndpoint(99, 1)));
+  Http1Client client(&loop);
+  std::optional<CallResult> result;
+  size_t most_unsent = 0;
+  CallEvents events;
+  events.on_end = [&](CallResult it) { result = std::move(it); };
+  auto call = client.Send(TestEndpoint(99, 1), {}, {}, std::move(events));
+  RunUntil(&loop, [&] {
+    if (server.in_flight() == 0) {
+      most_unsent = std::max(most_unsent, server.unsent_bytes());
+    }
+    return result.has_value();
+  });
+  CHECK(result->body.size() == kBytes);
+  CHECK(most_unsent > 0);
+  CHECK(server.unsent_bytes() == 0);
+}
+
 // Sends raw bytes to a server that echoes paths and bodies; returns what came
 // until the server closed.
 std::string Talk(const std::string& bytes, Http1Server::Limits limits) {
--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -33,7 +33,8 @@
 // One router before two engines and two plain services.
 class Fleet {
  public:
-  explicit Fleet(int group) : group_(group), store(&loop) {
+  explicit Fleet(int group, Milliseconds version_bound = Milliseconds(8000))
+      : group_(group), store(&loop) {
     if (!store.Listen(At(1))) FAIL("store");
     store.Put("op/config", Config(1).dump());
     for (int i = 0; i < 2; ++i) {
@@ -54,6 +55,7 @@
     settings.bounds.strict_revoke = true;
     settings.bounds.revoke = Milliseconds(1500);
     settings.bounds.config_apply = Milliseconds(600);
+    settings.bounds.version = version_bound;
     callers = settings.callers;
     router =
         std::make_unique<FleetRouter>(&loop, FleetRouterOptions{}, settings);
@@ -392,6 +394,29 @@
   CHECK(result->body == WholeStream(6));
 }
 
+TEST_CASE("a request that waits at old weights is taken back in time",
+          "[fleet]") {
+  Fleet fleet(81, Milliseconds(2000));
+  RunUntil(&fleet.loop,
+           [&] { return fleet.Ask("/stream/1").head->status == 200; });
+  size_t before = fleet.Runs();
+  // The engines take the request and begin nothing.
+  fleet.SetFault(EngineFault::kSilent, 9);
+  fleet.store.Put("op/version/m", R"({"model":"m","version":2})");
+  std::optional<CallResult> result;
+  auto call = fleet.Begin("/stream/1", kKey, {}, &result);
+  RunUntil(&fleet.loop, [&] { return result.has_value(); });
+  CHECK(result->head->status == 502);
+  CHECK(fleet.Runs() >= before + 1);
+  RunUntil(&fleet.loop, [&] {
+    int running = 0;
+    for (auto& [id, engine] : fleet.engines) running += engine->running();
+    return running == 0;
+  });
+  // Nothing new is sent to them either.
+  CHECK(fleet.Ask("/stream/1").head->status == 503);
+}
+
 TEST_CASE("another server at a known address runs nothing", "[fleet]") {
   Fleet fleet(80);
   // The address now belongs to another server; the registration is old.
