--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -19,6 +19,8 @@
 // An upstream that sends nothing to anybody for so long has stopped: an engine
 // with running requests sends events several times a second.
 constexpr Milliseconds kSilence{900};
+// A request that an engine begins at once has its first event by then.
+constexpr Milliseconds kUsualStart{350};
 // An upstream that has left the list is not watched any more.
 constexpr Milliseconds kSilenceOfLeaving{2000};
 // An idempotent request is sent again after this multiple of its service's
@@ -401,6 +403,9 @@
              now - upstream->status_at < UpstreamRegistry::kStatusLifetime) {
     lost = true;
     why = "upstream has gone";
+  } else if (WaitsAtLoadingEngine(*upstream, now)) {
+    lost = true;
+    why = "engine loads weights";
   } else if (service_->engine) {
     lost = now - std::max(upstream->last_progress, sent_at_) > kSilence;
   } else if (route_->kind == RequestKind::kIdempotent) {
@@ -425,6 +430,16 @@
   Dispatch();
 }
 
+// A loading engine begins nothing until its running requests have ended and the
+// weights are in, seconds later. A request that was sent just before the order
+// waits for all of that.
+bool FleetRequest::WaitsAtLoadingEngine(const FleetUpstream& upstream,
+                                        Moment now) const {
+  return events_ == 0 && upstream.status && upstream.status->loading &&
+         now - upstream.status_at < UpstreamRegistry::kStatusLifetime &&
+         now - sent_at_ > kUsualStart;
+}
+
 // Whether the request still waits at an engine whose weights are about to be
 // too old to begin on.
 bool FleetRequest::IsTooLateToBegin(Moment now) const {
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -52,6 +52,7 @@
   void GiveUp(const char* why, Milliseconds retry_after);
   bool MayTryAgain();
   void ReleaseUpstream(bool ok);
+  bool WaitsAtLoadingEngine(const FleetUpstream& upstream, Moment now) const;
   bool IsTooLateToBegin(Moment now) const;
   void TakeBack();
   void HandleTimeout();
--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -394,6 +394,32 @@
   CHECK(result->body == WholeStream(6));
 }
 
+// The load: an engine is ordered to load right after it was sent a request.
+TEST_CASE("a request that waits at a loading engine goes elsewhere",
+          "[fleet]") {
+  Fleet fleet(82);
+  fleet.SetFault(EngineFault::kSilent, 1);
+  std::optional<CallResult> result;
+  auto call = fleet.Begin("/stream/1", kKey, {}, &result);
+  RunUntil(&fleet.loop, [&] { return fleet.Runs() == 1; });
+  bool first = !fleet.engines["engine-0"]->runs().empty();
+  fleet.engines[first ? "engine-1" : "engine-0"]->SetFault(EngineFault::kNone,
+                                                          0);
+  UdpSocket agent(&fleet.loop, [](std::string_view, const Endpoint&) {});
+  REQUIRE(agent.Bind({fleet.At(11).ip, 18083}));
+  UpstreamStatus status;
+  status.upstream = fleet.At(first ? 2 : 3);
+  status.sequence = 1;
+  status.reachable = true;
+  status.loading = true;
+  status.whole_version = 1;
+  agent.Send(EncodeMessage(status), {fleet.callers.ip, 18083});
+  RunUntil(&fleet.loop, [&] { return result.has_value(); });
+  REQUIRE(result->end == CallEnd::kComplete);
+  CHECK(result->body == WholeStream(6));
+  CHECK(fleet.Runs() == 2);
+}
+
 TEST_CASE("a request that waits at old weights is taken back in time",
           "[fleet]") {
   Fleet fleet(81, Milliseconds(2000));
