Leave other routers their share of free slots; give hopeless requests up

A request that had not begun could not be moved, because the time that it had waited was over the target. Change: of what a router sends between two reports, each other one is taken to have sent half; a request that has not begun on an engine silent for 1.6 s, with no room elsewhere, is answered 502.

--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -11,6 +11,9 @@
 // Beyond this age a reported load is no longer trusted to hold other routers'
 // requests; their answers take a few seconds at most.
 constexpr Milliseconds kReportLifetime{3000};
+// Of what this router has sent since the last report, another one is taken to
+// have sent this share.
+constexpr double kOthersShare = 0.5;
 // Failures in a row after which an upstream gets no work for a while, except
 // as a probe. One failure may be the request's own.
 constexpr int kFailuresToEject = 3;
@@ -29,8 +32,12 @@
 int FleetUpstream::ExpectedLoad(Moment now) const {
   // Other routers are likely to send as much as this one.
   if (now - reported_at > kReportLifetime) return own_in_flight * routers;
-  int others = std::max(reported_load - own_at_report, 0);
-  return others + own_in_flight;
+  int since = own_in_flight - own_at_report;
+  if (since <= 0) return std::max(reported_load + since, own_in_flight);
+  // All routers see the same free slots at the same time.
+  double others = kOthersShare * since * (routers - 1);
+  return std::max(reported_load, own_at_report) + since +
+         static_cast<int>(others);
 }
 
 void UpstreamRegistry::Apply(const UpstreamChange& change,
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -19,6 +19,9 @@
 // An upstream that sends nothing to anybody for so long has stopped: an engine
 // with running requests sends events several times a second.
 constexpr Milliseconds kSilence{900};
+// A request that has not begun on a silent engine by then, with no room
+// elsewhere, is given up.
+constexpr Milliseconds kHopeless{1600};
 // A request that an engine begins at once has its first event by then.
 constexpr Milliseconds kUsualStart{350};
 // An upstream that has left the list is not watched any more.
@@ -391,7 +394,7 @@
 
 void FleetRequest::CheckUpstream(Moment now) {
   if (ended_ || call_ == nullptr) return;
-  if (IsTooLateToBegin(now)) return TakeBack();
+  if (IsTooLateToBegin(now)) return TakeBack("weights too old to begin on");
   if (!route_->Repeatable() || attempts_ >= route_->max_attempts) return;
   const FleetUpstream* upstream = state_->registry.Find(upstream_id_);
   bool lost = false;
@@ -420,6 +423,11 @@
   Fate before = std::exchange(fate_, Fate::kMayHaveRun);
   if (!MayTryAgain()) {
     fate_ = before;
+    // Its caller can still try elsewhere; a stopped engine would run it when
+    // that caller has left.
+    bool hopeless = service_->engine && events_ == 0 && !exchange_->started() &&
+                    now - heard_at_ > kHopeless;
+    if (hopeless) TakeBack(why);
     return;
   }
   PC_INFO(kRouter, "event=attempt_abandoned id="
@@ -447,14 +455,14 @@
   return attempt_version_ < state_->versions.LowestToBegin(fields_.model, now);
 }
 
-void FleetRequest::TakeBack() {
+void FleetRequest::TakeBack(const char* why) {
   PC_INFO(kRouter, "event=attempt_abandoned id="
                        << fields_.request_id << " upstream=" << upstream_id_
-                       << " events=0 why=\"weights too old to begin on\"");
+                       << " events=0 why=\"" << why << "\"");
   call_.reset();
   ReleaseUpstream(true);
   fate_ = Fate::kMayHaveRun;
-  RetryOrFail("weights too old to begin on");
+  RetryOrFail(why);
 }
 
 void FleetRequest::HandleTimeout() {
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -54,7 +54,7 @@
   void ReleaseUpstream(bool ok);
   bool WaitsAtLoadingEngine(const FleetUpstream& upstream, Moment now) const;
   bool IsTooLateToBegin(Moment now) const;
-  void TakeBack();
+  void TakeBack(const char* why);
   void HandleTimeout();
   void HandleGone();
   Milliseconds TimeLeft() const;
--- /dev/null
+++ b/Source/UnitTests/Fleet/placement_test.cc
@@ -0,0 +1,131 @@
+// Placement under the loads that it answers.
+#include <catch2/catch.hpp>
+
+#include "Core/Fleet/placement_policy.h"
+
+namespace primrosecove {
+namespace {
+
+constexpr int kSlots = 16;
+
+struct Bench {
+  std::vector<FleetUpstream> upstreams;
+  Route route;
+  FleetService service;
+  std::map<std::string, std::string> regions = {{"z1", "r1"}, {"z2", "r2"}};
+  PlacementRequest request;
+
+  Bench(std::vector<int> loads, int routers) {
+    for (size_t i = 0; i < loads.size(); ++i) {
+      FleetUpstream it;
+      it.record.id = "u" + std::to_string(i);
+      it.record.zone = i % 2 == 0 ? "z1" : "z2";
+      it.record.slots = kSlots;
+      it.reported_load = loads[i];
+      it.reported_at = Moment(0);
+      it.routers = routers;
+      upstreams.push_back(it);
+    }
+    route.latency_target = Milliseconds(500);
+    EngineProfile engine;
+    engine.slots = kSlots;
+    engine.step_ms = 9.27;
+    engine.steps_per_pass = 5;
+    engine.prefill_tokens_per_s = 20'700;
+    engine.pair_ms_per_million = 1.18;
+    service.engine = engine;
+    request.route = &route;
+    request.service = &service;
+    request.home_zone = "z1";
+    request.home_region = "r1";
+    request.region_of_zone = &regions;
+    request.prompt_tokens = 1000;
+    request.usual_time = Milliseconds(2000);
+  }
+
+  Placement Choose(PlacementPolicy* policy) {
+    std::vector<FleetUpstream*> candidates;
+    for (FleetUpstream& it : upstreams) candidates.push_back(&it);
+    return policy->Choose(candidates, request, Moment(0));
+  }
+};
+
+TEST_CASE("the least expected wait is taken, near before far") {
+  struct Row {
+    const char* name;
+    std::vector<int> loads;  // u0, u2 in the own zone, u1, u3 in another region
+    const char* chosen;      // null: refused
+  };
+  const Row rows[] = {
+      {"all idle", {0, 0, 0, 0}, "u0"},
+      {"the emptier one near", {9, 0, 4, 0}, "u2"},
+      {"near ones full", {16, 3, 17, 2}, "u3"},
+      {"a short wait anywhere is over in time", {17, 16, 17, 17}, "u1"},
+      {"all far over their slots", {30, 30, 30, 30}, nullptr},
+      {"none", {}, nullptr},
+  };
+  auto policy = MakePlacementPolicy("expected-wait");
+  for (const Row& row : rows) {
+    INFO(row.name);
+    Bench bench(row.loads, 1);
+    Placement placement = bench.Choose(policy.get());
+    REQUIRE((placement.upstream != nullptr) == (row.chosen != nullptr));
+    if (row.chosen != nullptr)
+      CHECK(placement.upstream->record.id == row.chosen);
+  }
+}
+
+// The load: an engine comes back empty and all routers see it at once.
+TEST_CASE("routers together send no more than an empty engine has room for") {
+  for (int routers : {1, 4, 5, 16}) {
+    INFO(routers << " routers");
+    auto policy = MakePlacementPolicy("expected-wait");
+    int sent = 0;
+    for (int router = 0; router < routers; ++router) {
+      Bench bench({0}, routers);
+      while (bench.Choose(policy.get()).upstream != nullptr) {
+        ++bench.upstreams[0].own_in_flight;
+        ++sent;
+      }
+    }
+    // Two for one is what a queue of the usual length still serves.
+    CHECK(sent >= kSlots);
+    CHECK(sent <= 2 * kSlots + routers);
+  }
+}
+
+TEST_CASE("what has been begun is placed even where the target is missed") {
+  auto policy = MakePlacementPolicy("expected-wait");
+  Bench bench({30, 24}, 1);
+  CHECK(bench.Choose(policy.get()).upstream == nullptr);
+  bench.request.begun = true;
+  Placement placement = bench.Choose(policy.get());
+  REQUIRE(placement.upstream != nullptr);
+  CHECK(placement.upstream->record.id == "u1");
+}
+
+TEST_CASE("a refusal says when there should be room") {
+  auto policy = MakePlacementPolicy("expected-wait");
+  Bench bench({24, 30}, 1);
+  Placement placement = bench.Choose(policy.get());
+  REQUIRE(placement.upstream == nullptr);
+  // Nine ends away, each 2000 / 16 ms apart.
+  CHECK(placement.retry_after == Milliseconds(1125));
+}
+
+TEST_CASE("baselines keep a fixed queue") {
+  for (const char* name : {"least-in-flight", "round-robin"}) {
+    INFO(name);
+    auto policy = MakePlacementPolicy(name);
+    REQUIRE(policy != nullptr);
+    Bench bench({23, 30}, 1);
+    REQUIRE(bench.Choose(policy.get()).upstream != nullptr);
+    CHECK(bench.Choose(policy.get()).upstream->record.id == "u0");
+    Bench full({24, 30}, 1);
+    CHECK(full.Choose(policy.get()).upstream == nullptr);
+  }
+  CHECK(MakePlacementPolicy("by-wish") == nullptr);
+}
+
+}  // namespace
+}  // namespace primrosecove
--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -404,7 +404,7 @@
   RunUntil(&fleet.loop, [&] { return fleet.Runs() == 1; });
   bool first = !fleet.engines["engine-0"]->runs().empty();
   fleet.engines[first ? "engine-1" : "engine-0"]->SetFault(EngineFault::kNone,
-                                                          0);
+                                                           0);
   UdpSocket agent(&fleet.loop, [](std::string_view, const Endpoint&) {});
   REQUIRE(agent.Bind({fleet.At(11).ip, 18083}));
   UpstreamStatus status;
