Serve callers that can still be in time first; split the weight stager; add the emulator

Its remaining wait tells how long it has waited; what is late already now leaves a quarter of an engine's slots to others. Ruled out: copies' pace (68 % of the links, whatever the pieces under way or the upload share). The emulator plays engines, routers and callers with the product's own placement and statuses; 'primrosecove-lab experiment' compares policies with two baselines and a bound.

--- a/Source/Core/Agent/fleet_agent.cc
+++ b/Source/Core/Agent/fleet_agent.cc
@@ -46,25 +46,25 @@
   struct Row {
     const char* name;
     const char* help;
-    uint64_t StagerCounters::*member;
+    std::function<uint64_t()> value;
   };
-  static constexpr Row kRows[] = {
+  const TransferCounters& transfers = stager_->transfer_counters();
+  const Row rows[] = {
       {"origin_bytes_total", "Bytes of weights drawn from the origin",
-       &StagerCounters::origin_bytes},
+       [&transfers] { return transfers.origin_bytes; }},
       {"peer_bytes_total", "Bytes of weights taken from peers",
-       &StagerCounters::peer_bytes},
+       [&transfers] { return transfers.peer_bytes; }},
       {"sent_bytes_total", "Bytes of weights handed on",
-       &StagerCounters::sent_bytes},
+       [this] { return stager_->sent_bytes(); }},
       {"corrupt_pieces_total", "Pieces that were not what their digest says",
-       &StagerCounters::corrupt_pieces},
-      {"orders_total", "Orders to load", &StagerCounters::orders},
+       [&transfers] { return transfers.corrupt_pieces; }},
+      {"orders_total", "Orders to load",
+       [this] { return stager_->counters().orders; }},
   };
-  for (const Row& row : kRows) {
+  for (const Row& row : rows) {
     metrics_.AddCounter(
         std::string("primrosecove_agent_") + row.name, row.help, {},
-        [this, row] {
-          return static_cast<double>(stager_->counters().*row.member);
-        });
+        [value = row.value] { return static_cast<double>(value()); });
   }
   metrics_.AddGauge("primrosecove_agent_weights_version",
                     "Version that the engine serves whole", {}, [this] {
--- a/Source/Core/Fleet/placement_policy.cc
+++ b/Source/Core/Fleet/placement_policy.cc
@@ -1,6 +1,7 @@
 #include "Core/Fleet/placement_policy.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace primrosecove {
@@ -12,6 +13,10 @@
 constexpr double kOtherZoneMs = 40;
 constexpr double kOtherRegionMs = 90;
 constexpr double kMsPerSecond = 1000;
+// Of an upstream's slots, the share kept from requests that are late already.
+// Callers that come back after a refusal are; when they are taken before those
+// that come for the first time, all become late.
+constexpr double kKeptForTimely = 0.25;
 // Requests that may wait at a full upstream under the baselines, as a share of
 // its slots.
 constexpr double kBaselineQueueShare = 0.5;
@@ -38,7 +43,7 @@
     for (FleetUpstream* it : candidates) {
       double wait = WaitMs(*it, request, now);
       soonest = std::min(soonest, wait);
-      if (!Fits(*it, request, wait)) continue;
+      if (!Fits(*it, request, wait, now)) continue;
       double cost = wait + DistanceMs(*it, request) + CrowdingMs(*it, now);
       if (cost >= best) continue;
       best = cost;
@@ -71,8 +76,15 @@
   }
 
   static bool Fits(const FleetUpstream& upstream,
-                   const PlacementRequest& request, double wait_ms) {
-    if (wait_ms <= 0 || request.begun) return true;
+                   const PlacementRequest& request, double wait_ms,
+                   Moment now) {
+    if (request.begun) return true;
+    if (request.waited > request.route->latency_target) {
+      int slots = std::max(upstream.record.slots, 1);
+      auto kept = static_cast<int>(std::ceil(kKeptForTimely * slots));
+      return upstream.ExpectedLoad(now) < slots - kept;
+    }
+    if (wait_ms <= 0) return true;
     double own = static_cast<double>(request.usual_time.count());
     if (request.service->engine) {
       const EngineProfile& engine = *request.service->engine;
--- a/Source/Core/Fleet/placement_policy.h
+++ b/Source/Core/Fleet/placement_policy.h
@@ -21,7 +21,8 @@
   const std::map<std::string, std::string>* region_of_zone = nullptr;
   int64_t prompt_tokens = 0;
   Milliseconds usual_time{0};  ///< Mean time from sending to the end.
-  Milliseconds waited{0};      ///< Since the request's arrival.
+  /// Of its caller, since its first attempt.
+  Milliseconds waited{0};
   /// Its caller has got a part of the answer, so that refusing it would waste
   /// what was done.
   bool begun = false;
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "Core/Common/log.h"
+#include "Core/Fleet/refusal.h"
 #include "platform/headers.h"
 
 namespace primrosecove {
@@ -36,12 +37,6 @@
 // A caller that is refused for want of a fresh configuration may find another
 // router at once.
 constexpr Milliseconds kElsewhere{200};
-// Callers that are refused under load come back once, so they are asked to wait
-// until a loading engine or a newcomer is likely to have room, and spread over
-// some time. Callers heed a third of what is left of their wait, about 2 s.
-constexpr Milliseconds kLoadPause{700};
-constexpr double kSpreadMs = 1200;
-
 constexpr int kStatusOk = 200;
 constexpr int kStatusMultipleChoices = 300;
 constexpr int kStatusServerError = 500;
@@ -76,6 +71,8 @@
   Milliseconds bound = route_->timeout;
   if (fields_.deadline) bound = std::min(bound, *fields_.deadline);
   bound_ = arrival_ + bound;
+  waited_before_ = state_->earlier_wait.Take(route_->host + route_->prefix,
+                                             fields_.deadline, arrival_);
   std::weak_ptr<FleetRequest> weak = weak_from_this();
   bound_timer_ = state_->loop->After(bound, [weak] {
     if (auto self = weak.lock()) self->HandleTimeout();
@@ -158,7 +155,7 @@
   request.usual_time =
       state_->MeanTime(service_->name, service_->engine ? kAssumedEngineTime
                                                         : kAssumedPlainTime);
-  request.waited = now - arrival_;
+  request.waited = waited_before_ + (now - arrival_);
   request.begun = events_ > 0;
   Placement out = state_->policy->Choose(candidates, request, now);
   out.candidates = candidates.size();
@@ -179,8 +176,7 @@
     return Finish("broken_off", 0, why);
   }
   if (fate_ == Fate::kMayHaveRun) return Fail(502, "Bad Gateway", why);
-  auto spread = Milliseconds(static_cast<int64_t>(state_->Draw() * kSpreadMs));
-  Refuse(why, std::max(retry_after, kLoadPause) + spread);
+  Refuse(why, RetryAfterLoad(retry_after, state_->Draw()));
 }
 
 void FleetRequest::Send(const Placement& placement) {
@@ -535,6 +531,7 @@
               << " upstream=" << last_upstream_ << " load=" << decided_load_
               << " wait_ms=" << decided_wait_.count()
               << " report_age_ms=" << decided_report_age_.count()
+              << " waited_before_ms=" << waited_before_.count()
               << " prompt=" << fields_.prompt_tokens
               << " weights=" << weights_version_.value_or(0) << " config="
               << (routes_ == nullptr ? 0 : routes_->config().version)
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -72,7 +72,8 @@
   CallerFields fields_;
   std::string workspace_;
   Moment arrival_{0};
-  Moment bound_{0};  // when the final answer is due
+  Milliseconds waited_before_{0};  // in earlier attempts
+  Moment bound_{0};                // when the final answer is due
   Timer bound_timer_;
 
   std::unique_ptr<Http1Call> call_;
--- a/Source/Core/Router/fleet_state.h
+++ b/Source/Core/Router/fleet_state.h
@@ -9,6 +9,7 @@
 
 #include "Core/Control/metrics.h"
 #include "Core/Fleet/deployment.h"
+#include "Core/Fleet/earlier_wait.h"
 #include "Core/Fleet/freshness.h"
 #include "Core/Fleet/placement_policy.h"
 #include "Core/Fleet/retry_allowance.h"
@@ -44,6 +45,7 @@
   UpstreamRegistry registry;
   VersionFloor versions{Milliseconds(0)};
   std::unique_ptr<PlacementPolicy> policy;
+  EarlierWait earlier_wait;
   std::map<std::string, RetryAllowance> allowances;  ///< By service.
   /// Mean time of a request at each service, a moving average.
   std::map<std::string, double> mean_time_ms;
--- /dev/null
+++ b/Source/Emulator/experiment.cc
@@ -0,0 +1,106 @@
+#include "Emulator/experiment.h"
+
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <span>
+
+#include "Emulator/ideal_bound.h"
+#include "Emulator/plot.h"
+#include "Emulator/results.h"
+
+namespace primrosecove {
+namespace {
+
+constexpr char kWorth[] = "worth";
+constexpr char kWorthBySecond[] = "worth_by_second";
+
+double MeanOf(const std::vector<nlohmann::json>& runs, const char* key) {
+  double sum = 0;
+  for (const nlohmann::json& it : runs) sum += it.at(key).get<double>();
+  return runs.empty() ? 0 : sum / static_cast<double>(runs.size());
+}
+
+std::vector<double> MeanBySecond(const std::vector<nlohmann::json>& runs) {
+  std::vector<double> out;
+  for (const nlohmann::json& run : runs) {
+    std::vector<double> values = run.at(kWorthBySecond);
+    out.resize(std::max(out.size(), values.size()));
+    for (size_t i = 0; i < values.size(); ++i) out[i] += values[i];
+  }
+  for (double& it : out) it /= static_cast<double>(runs.size());
+  return out;
+}
+
+nlohmann::json RunOnce(const Scenario& scenario, const std::string& policy,
+                       uint64_t seed, std::span<const Arrival> arrivals) {
+  FleetModel model(&scenario, policy, seed);
+  std::vector<CallerOutcome> outcomes = model.Run(arrivals);
+  nlohmann::json out = Summarize(scenario, outcomes);
+  out["seed"] = seed;
+  out["engine_use"] = model.Utilization();
+  return out;
+}
+
+nlohmann::json Means(const std::vector<nlohmann::json>& runs) {
+  nlohmann::json out;
+  for (const char* key : {kWorth, "requests", "served", "in_time", "refused",
+                          "refused_once", "first_event_p50_ms",
+                          "first_event_p95_ms", "pause_p95_ms", "engine_use"}) {
+    out[key] = MeanOf(runs, key);
+  }
+  return out;
+}
+
+Result<void> WritePlot(const ExperimentOptions& options,
+                       const Scenario& scenario,
+                       const std::vector<PlotLine>& lines) {
+  std::string path = options.plots + "/" + scenario.name + ".svg";
+  std::ofstream file(path);
+  file << PlotLines(scenario.name, "second of arrival", kWorth, lines);
+  if (!file.flush()) {
+    return Fail(ErrorCode::kUnavailable, "can't write " + path);
+  }
+  return outcome::success();
+}
+
+void SetLoad(Scenario* scenario, double load) {
+  double factor = load / scenario->FullLoad();
+  for (RequestClass& it : scenario->classes) it.per_second *= factor;
+}
+
+}  // namespace
+
+Result<nlohmann::json> RunExperiment(const ExperimentOptions& options) {
+  BOOST_OUTCOME_TRY(scenario, Scenario::Load(options.scenario));
+  if (options.load > 0) SetLoad(&scenario, options.load);
+  for (const std::string& it : options.policies) {
+    if (MakePlacementPolicy(it) == nullptr) {
+      return Fail(ErrorCode::kInvalidArgument, "unknown policy \"" + it + "\"");
+    }
+  }
+  std::map<std::string, std::vector<nlohmann::json>> runs;
+  double bound = 0;
+  for (int i = 0; i < options.seeds; ++i) {
+    uint64_t seed = options.seed + static_cast<uint64_t>(i);
+    std::vector<Arrival> arrivals = DrawTraffic(scenario, seed);
+    bound += IdealWorth(scenario, arrivals) / options.seeds;
+    for (const std::string& it : options.policies) {
+      runs[it].push_back(RunOnce(scenario, it, seed, arrivals));
+    }
+  }
+  nlohmann::json out = {{"scenario", scenario.name},
+                        {"full_load", scenario.FullLoad()},
+                        {"bound", bound}};
+  std::vector<PlotLine> lines;
+  for (const std::string& it : options.policies) {
+    out["policies"][it] = {{"mean", Means(runs[it])}, {"runs", runs[it]}};
+    lines.push_back({it, MeanBySecond(runs[it])});
+  }
+  if (!options.plots.empty()) {
+    BOOST_OUTCOME_TRYV(WritePlot(options, scenario, lines));
+  }
+  return out;
+}
+
+}  // namespace primrosecove
--- a/Source/Lab/main.cc
+++ b/Source/Lab/main.cc
@@ -2,11 +2,13 @@
 #include <signal.h>
 
 #include <CLI/CLI.hpp>
+#include <fstream>
 #include <functional>
 #include <iostream>
 
 #include "Core/Common/log.h"
 #include "Core/Common/text.h"
+#include "Emulator/experiment.h"
 #include "Lab/engine.h"
 #include "Lab/fault_proxy.h"
 #include "Lab/history.h"
@@ -70,6 +72,9 @@
   std::string callers;
   std::string upstreams;
   std::string fingerprints;
+  ExperimentOptions experiment;
+  std::string policies = "expected-wait,least-in-flight,round-robin";
+  std::string output;
 };
 
 int RunPlatform(Options options) {
@@ -192,6 +197,25 @@
   return 0;
 }
 
+int RunExperiments(Options options) {
+  options.experiment.policies = Split(options.policies, ',');
+  auto result = RunExperiment(options.experiment);
+  if (!result) return ReportError(result.error());
+  constexpr int kIndent = 1;
+  std::string text = result.value().dump(kIndent) + "\n";
+  if (options.output.empty()) {
+    std::cout << text;
+    return 0;
+  }
+  std::ofstream file(options.output);
+  file << text;
+  if (!file.flush()) {
+    return ReportError(
+        {ErrorCode::kUnavailable, "can't write " + options.output});
+  }
+  return 0;
+}
+
 using Command = int (*)(Options);
 
 CLI::App* AddCommand(CLI::App* app, const std::string& name,
@@ -307,6 +331,28 @@
       ->required();
 }
 
+void AddExperiment(CLI::App* app, Options* it, std::function<int()>* run) {
+  CLI::App* command = AddCommand(
+      app, "experiment", "Compare placement policies on emulated engines", it,
+      RunExperiments, run);
+  command->add_option("scenario", it->experiment.scenario, "YAML file")
+      ->required();
+  command->add_option("--policies", it->policies, "Names, comma separated")
+      ->capture_default_str();
+  command->add_option("--seed", it->experiment.seed, "First seed")
+      ->capture_default_str();
+  command->add_option("--seeds", it->experiment.seeds, "How many seeds")
+      ->capture_default_str()
+      ->check(CLI::PositiveNumber);
+  command
+      ->add_option("--load", it->experiment.load,
+                   "Engine time asked over what there is; 0: as written")
+      ->check(CLI::NonNegativeNumber);
+  command->add_option("--output", it->output, "JSON file; else on the output");
+  command->add_option("--plots", it->experiment.plots,
+                      "Existing directory for charts");
+}
+
 int Main(int argc, char** argv) {
   CLI::App app("Stand-ins for the platform, engines, services and callers");
   app.require_subcommand(1);
@@ -317,6 +363,7 @@
   AddProxy(&app, &options, &run);
   AddLoad(&app, &options, &run);
   AddTools(&app, &options, &run);
+  AddExperiment(&app, &options, &run);
   try {
     app.parse(argc, argv);
   } catch (const CLI::Success& e) {
@@ -325,7 +372,10 @@
     std::cerr << "primrosecove-lab: " << e.what() << "\n";
     return kUsage;
   }
-  auto logging = InitializeLogging("info", LogFormat::kPlain);
+  // An experiment's result goes to the output, where its routers' lines would
+  // be mixed in.
+  bool quiet = app.got_subcommand("experiment");
+  auto logging = InitializeLogging(quiet ? "error" : "info", LogFormat::kPlain);
   if (!logging) return ReportError(logging.error());
   return run();
 }
--- a/Source/UnitTests/Fleet/placement_test.cc
+++ b/Source/UnitTests/Fleet/placement_test.cc
@@ -94,6 +94,33 @@
   }
 }
 
+// The load: callers that were refused come back while others come for the first
+// time, and there is not enough room for all.
+TEST_CASE("requests that are late already leave slots to those in time") {
+  struct Row {
+    const char* name;
+    std::vector<int> loads;
+    int64_t waited_ms;
+    bool begun;
+    bool served;
+  };
+  const Row rows[] = {
+      {"in time, one slot left", {15, 15}, 0, false, true},
+      {"late, one slot left", {15, 15}, 900, false, false},
+      {"late, a quarter of the slots left", {16, 12}, 900, false, false},
+      {"late, more than a quarter left", {16, 11}, 900, false, true},
+      {"late, but the caller has a part of it", {15, 15}, 900, true, true},
+  };
+  auto policy = MakePlacementPolicy("expected-wait");
+  for (const Row& row : rows) {
+    INFO(row.name);
+    Bench bench(row.loads, 1);
+    bench.request.waited = Milliseconds(row.waited_ms);
+    bench.request.begun = row.begun;
+    CHECK((bench.Choose(policy.get()).upstream != nullptr) == row.served);
+  }
+}
+
 TEST_CASE("what has been begun is placed even where the target is missed") {
   auto policy = MakePlacementPolicy("expected-wait");
   Bench bench({30, 24}, 1);
