Keep long answers away from engines that load soon; spread swaps until the bound

Cause: an engine that is ordered to load is out until its last answer has ended, 2 to 3 s under load, and all swaps lay in the 2.5 s before routers stop using older weights: more than half of the engines were out at once. Agents now tell when they plan to order the load; a request that would outlast that time costs its overrun when an upstream is chosen. Turns reach to the bound: engines whose turn comes after the routers' stop are idle then and load at once.

--- a/Source/Core/Agent/fleet_agent.cc
+++ b/Source/Core/Agent/fleet_agent.cc
@@ -174,6 +174,10 @@
     return now - it.second > kRouterLifetime;
   });
   status_.staged_version = stager_->staged_version();
+  status_.loads_in_ms = UpstreamStatus::kNoLoadPlanned;
+  if (auto it = stager_->LoadsIn()) {
+    status_.loads_in_ms = static_cast<uint32_t>(it->count());
+  }
   status_.routers_heard = static_cast<uint32_t>(routers_.size());
   uint64_t sequence = std::exchange(status_.sequence, 0);
   std::string same = EncodeMessage(status_);
--- a/Source/Core/Agent/weight_stager.cc
+++ b/Source/Core/Agent/weight_stager.cc
@@ -193,19 +193,39 @@
   LoadIfDue();
 }
 
+// Precondition: something is chosen to lie at the engine.
+LoadSituation WeightStager::Situation() const {
+  const WeightCopy& copy = staging_->copy();
+  const Target& target = targets_.at(copy.version());
+  LoadSituation out;
+  out.target_version = copy.version();
+  out.whole_version = served_version_;
+  out.loading = report_.loading;
+  out.idle = report_.running == 0 && report_.waiting == 0;
+  out.copy_complete = copy.complete() && staging_->done();
+  out.named_age = AgeOf(target);
+  double bytes = static_cast<double>(notice_->chunks) * notice_->chunk_bytes;
+  Milliseconds usual = UsualCopyTime(bytes, settings_.link_bytes_per_second);
+  out.completed_age =
+      target.completed_age.value_or(std::max(usual, out.named_age));
+  out.version_bound = Milliseconds(notice_->version_bound_ms);
+  out.turn = SwapTurn(*notice_, self_);
+  return out;
+}
+
+std::optional<Milliseconds> WeightStager::LoadsIn() const {
+  if (staging_ == nullptr || served_version_ == 0) return std::nullopt;
+  LoadSituation situation = Situation();
+  bool planned = situation.whole_version < situation.target_version &&
+                 VersionAtEngine() < situation.target_version;
+  if (!planned) return std::nullopt;
+  return std::max(PlannedLoadAge(situation) - situation.named_age,
+                  Milliseconds(0));
+}
+
 void WeightStager::LoadIfDue() {
   uint64_t version = staging_->copy().version();
-  const Target& target = targets_[version];
-  LoadSituation situation;
-  situation.target_version = version;
-  situation.whole_version = served_version_;
-  situation.loading = report_.loading;
-  situation.idle = report_.running == 0 && report_.waiting == 0;
-  situation.copy_complete = staging_->copy().complete() && staging_->done();
-  situation.named_age = AgeOf(target);
-  situation.completed_age = target.completed_age.value_or(situation.named_age);
-  situation.version_bound = Milliseconds(notice_->version_bound_ms);
-  situation.turn = SwapTurn(*notice_, self_);
+  LoadSituation situation = Situation();
   if (!ShouldLoad(situation) || staging_->verifying() || order_under_way_) {
     return;
   }
--- a/Source/Core/Agent/weight_stager.h
+++ b/Source/Core/Agent/weight_stager.h
@@ -41,6 +41,9 @@
   }
   /// The version whose verified copy lies at the engine, or 0.
   uint64_t staged_version() const { return staged_version_; }
+  /// Until the engine is to be ordered to load other weights than it serves, if
+  /// that is planned.
+  std::optional<Milliseconds> LoadsIn() const;
   /// Calls `callback` whenever the engine has taken an order to load.
   void OnLoading(std::function<void()> callback) {
     on_loading_ = std::move(callback);
@@ -69,6 +72,7 @@
   uint64_t VersionAtEngine() const;
   void TakePiece(uint64_t version, uint32_t n);
   void TakeComplete(uint64_t version);
+  LoadSituation Situation() const;
   void LoadIfDue();
   void Order(uint64_t version);
   void Refresh();
--- a/Source/Core/Fleet/fleet_messages.cc
+++ b/Source/Core/Fleet/fleet_messages.cc
@@ -53,9 +53,10 @@
   uint32_t pace_percent = 0;
   int64_t born_ms = 0;
   uint32_t routers_heard = 0;
+  uint32_t loads_in_ms = 0;
   MSGPACK_DEFINE_ARRAY(upstream, sequence, reachable, loading, whole_version,
                        staged_version, running, waiting, pace_percent, born_ms,
-                       routers_heard);
+                       routers_heard, loads_in_ms);
 };
 
 EndpointWire ToWire(const Endpoint& it) { return {it.ip, it.port}; }
@@ -100,19 +101,29 @@
 }
 
 StatusWire ToWire(const UpstreamStatus& it) {
-  return {ToWire(it.upstream), it.sequence,       it.reachable,    it.loading,
-          it.whole_version,    it.staged_version, it.running,      it.waiting,
-          it.pace_percent,     it.born_ms,        it.routers_heard};
+  return {ToWire(it.upstream), it.sequence,      it.reachable,
+          it.loading,          it.whole_version, it.staged_version,
+          it.running,          it.waiting,       it.pace_percent,
+          it.born_ms,          it.routers_heard, it.loads_in_ms};
 }
 
 UpstreamStatus FromWire(const StatusWire& it) {
-  return {FromWire(it.upstream), it.sequence,       it.reachable,    it.loading,
-          it.whole_version,      it.staged_version, it.running,      it.waiting,
-          it.pace_percent,       it.born_ms,        it.routers_heard};
+  return {FromWire(it.upstream),
+          it.sequence,
+          it.reachable,
+          it.loading,
+          it.whole_version,
+          it.staged_version,
+          it.running,
+          it.waiting,
+          it.pace_percent,
+          it.born_ms,
+          it.routers_heard,
+          it.loads_in_ms};
 }
 
 constexpr uint32_t kNoticeFields = 11;
-constexpr uint32_t kStatusFields = 11;
+constexpr uint32_t kStatusFields = 12;
 
 template <typename Wire>
 FleetMessage Unpack(std::string_view bytes, uint32_t fields) {
--- a/Source/Core/Fleet/fleet_messages.h
+++ b/Source/Core/Fleet/fleet_messages.h
@@ -52,6 +52,10 @@
   uint32_t pace_percent = 100;
   int64_t born_ms = 0;
   uint32_t routers_heard = 0;
+  /// Until the engine is to be ordered to load; kNoLoadPlanned for none.
+  uint32_t loads_in_ms = kNoLoadPlanned;
+
+  static constexpr uint32_t kNoLoadPlanned = UINT32_MAX;
 };
 
 using FleetMessage = std::variant<FleetNotice, UpstreamStatus>;
--- a/Source/Core/Fleet/load_order.cc
+++ b/Source/Core/Fleet/load_order.cc
@@ -5,24 +5,36 @@
 #include "Core/Common/digest.h"
 
 namespace primrosecove {
-namespace {
-
-// Routers begin nothing on older weights about this long before the bound; an
-// engine that still serves older ones then is of no use until it has loaded.
-constexpr Milliseconds kRouterMargin{1500};
-
-}  // namespace
+namespace {}  // namespace
 
 bool ShouldLoad(const LoadSituation& situation) {
   if (situation.target_version == 0 || !situation.copy_complete) return false;
   if (situation.loading) return false;
   if (situation.whole_version >= situation.target_version) return false;
   if (situation.whole_version == 0 || situation.idle) return true;
-  Milliseconds last = situation.version_bound - kRouterMargin;
-  Milliseconds slack =
-      std::max(last - situation.completed_age, Milliseconds(0));
+  return situation.named_age >= PlannedLoadAge(situation);
+}
+
+Milliseconds PlannedLoadAge(const LoadSituation& situation) {
+  // Those whose turn comes after routers have stopped using older weights are
+  // idle soon, and load then.
+  Milliseconds slack = std::max(
+      situation.version_bound - situation.completed_age, Milliseconds(0));
   auto wait = std::chrono::duration_cast<Milliseconds>(slack * situation.turn);
-  return situation.named_age >= situation.completed_age + wait;
+  return situation.completed_age + wait;
+}
+
+Milliseconds UsualCopyTime(double copy_bytes, double link_bytes_per_second) {
+  // Measured: pieces use about this share of the links, and the last ones are
+  // handed on for about this long.
+  constexpr double kLinkShare = 0.75;
+  constexpr double kHandOnMs = 600;
+  constexpr double kMsPerSecond = 1000;
+  double out = kHandOnMs;
+  if (link_bytes_per_second > 0) {
+    out += copy_bytes / (kLinkShare * link_bytes_per_second) * kMsPerSecond;
+  }
+  return Milliseconds(static_cast<int64_t>(out));
 }
 
 double SwapTurn(const FleetNotice& notice, const std::string& self) {
--- a/Source/Core/Fleet/load_order.h
+++ b/Source/Core/Fleet/load_order.h
@@ -21,6 +21,14 @@
   double turn = 0;                ///< This engine's place among all, 0 to 1.
 };
 
+/// The age of the version's name at which its engine is to be ordered. Thread
+/// safe.
+Milliseconds PlannedLoadAge(const LoadSituation& situation);
+
+/// How long a whole copy usually takes from its name on, over links of that
+/// rate; 0 bytes a second means that links don't limit. Thread safe.
+Milliseconds UsualCopyTime(double copy_bytes, double link_bytes_per_second);
+
 /// Whether to stage, verify and order now. An engine that serves nothing, or
 /// nobody, is ordered at once. The others take turns between the completion of
 /// their copy and the time at which routers stop using older weights: an engine
--- a/Source/Core/Fleet/placement_policy.cc
+++ b/Source/Core/Fleet/placement_policy.cc
@@ -13,6 +13,9 @@
 constexpr double kOtherZoneMs = 40;
 constexpr double kOtherRegionMs = 90;
 constexpr double kMsPerSecond = 1000;
+// What a millisecond costs by which a request outlasts its engine's time to
+// load.
+constexpr double kOverrunCost = 0.3;
 // Of an upstream's slots, the share kept from requests that are late already.
 // Callers that come back after a refusal are; when they are taken before those
 // that come for the first time, all become late.
@@ -44,7 +47,8 @@
       double wait = WaitMs(*it, request, now);
       soonest = std::min(soonest, wait);
       if (!Fits(*it, request, wait, now)) continue;
-      double cost = wait + DistanceMs(*it, request) + CrowdingMs(*it, now);
+      double cost = wait + DistanceMs(*it, request) + CrowdingMs(*it, now) +
+                    kOverrunCost * OverrunMs(*it, request, wait, now);
       if (cost >= best) continue;
       best = cost;
       out.upstream = it;
@@ -58,6 +62,19 @@
   }
 
  private:
+  // By how much the request would outlast the time at which the engine is to
+  // load other weights; it is out for all until then.
+  static double OverrunMs(const FleetUpstream& upstream,
+                          const PlacementRequest& request, double wait_ms,
+                          Moment now) {
+    if (!upstream.loads_at) return 0;
+    auto time = request.expected_time.count() > 0 ? request.expected_time
+                                                  : request.usual_time;
+    double ends = static_cast<double>((now + time).count()) + wait_ms;
+    return std::max(ends - static_cast<double>(upstream.loads_at->count()),
+                    0.0);
+  }
+
   // A slot frees every usual_time / slots on average, so the queue ahead takes
   // that long each.
   static double WaitMs(const FleetUpstream& upstream,
--- a/Source/Core/Fleet/placement_policy.h
+++ b/Source/Core/Fleet/placement_policy.h
@@ -20,7 +20,8 @@
   std::string home_region;
   const std::map<std::string, std::string>* region_of_zone = nullptr;
   int64_t prompt_tokens = 0;
-  Milliseconds usual_time{0};  ///< Mean time from sending to the end.
+  Milliseconds usual_time{0};     ///< Mean time from sending to the end.
+  Milliseconds expected_time{0};  ///< Of this request; 0: as usual.
   /// Of its caller, since its first attempt.
   Milliseconds waited{0};
   /// Its caller has got a part of the answer, so that refusing it would waste
--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -96,6 +96,10 @@
     }
     upstream.routers = std::max<int>(static_cast<int>(status.routers_heard), 1);
     upstream.status = status;
+    upstream.loads_at.reset();
+    if (status.loads_in_ms != UpstreamStatus::kNoLoadPlanned) {
+      upstream.loads_at = now + Milliseconds(status.loads_in_ms);
+    }
     upstream.status_at = now;
     upstream.reported_load = static_cast<int>(status.running + status.waiting);
     upstream.own_at_report = upstream.own_in_flight;
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -25,6 +25,8 @@
   /// From the agent beside it, if that is heard.
   std::optional<UpstreamStatus> status;
   Moment status_at{0};
+  /// When it is to be ordered to load other weights, if that is planned.
+  std::optional<Moment> loads_at;
   int own_in_flight = 0;
   /// Own requests at the time of the last report of its load.
   int own_at_report = 0;
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -155,6 +155,7 @@
   request.usual_time =
       state_->MeanTime(service_->name, service_->engine ? kAssumedEngineTime
                                                         : kAssumedPlainTime);
+  request.expected_time = ExpectedTime(request.usual_time);
   request.waited = waited_before_ + (now - arrival_);
   request.begun = events_ > 0;
   Placement out = state_->policy->Choose(candidates, request, now);
@@ -162,6 +163,21 @@
   return out;
 }
 
+// An answer takes a pass of the engine for each few tokens, so its length
+// against the usual one tells its time.
+Milliseconds FleetRequest::ExpectedTime(Milliseconds usual) const {
+  if (!service_->engine || service_->engine->usual_answer_tokens <= 0) {
+    return usual;
+  }
+  int64_t tokens =
+      fields_.expected_answer_tokens.value_or(fields_.max_answer_tokens);
+  if (tokens <= 0) return usual;
+  double share =
+      static_cast<double>(tokens) / service_->engine->usual_answer_tokens;
+  return Milliseconds(
+      static_cast<int64_t>(share * static_cast<double>(usual.count())));
+}
+
 void FleetRequest::Dispatch() {
   Moment now = state_->Now();
   Placement placement = Place(now);
@@ -519,23 +535,25 @@
   state_->answer_seconds->Observe(
       static_cast<double>((now - arrival_).count()) / 1000);
   auto age = state_->freshness.Age(BootNow());
-  PC_INFO(kRouter,
-          "event=request_end id="
-              << fields_.request_id << " outcome=" << outcome
-              << " status=" << status << " why=\"" << why
-              << "\" route=" << (route_ == nullptr ? "-" : route_->name)
-              << " ms=" << (now - arrival_).count() << " first_event_ms="
-              << (events_ > 0 ? (first_event_at_ - arrival_).count() : -1)
-              << " events=" << events_ << " longest_pause_ms="
-              << longest_pause_.count() << " attempts=" << attempts_
-              << " upstream=" << last_upstream_ << " load=" << decided_load_
-              << " wait_ms=" << decided_wait_.count()
-              << " report_age_ms=" << decided_report_age_.count()
-              << " waited_before_ms=" << waited_before_.count()
-              << " prompt=" << fields_.prompt_tokens
-              << " weights=" << weights_version_.value_or(0) << " config="
-              << (routes_ == nullptr ? 0 : routes_->config().version)
-              << " config_age_ms=" << (age ? age->count() : -1));
+  PC_INFO(
+      kRouter,
+      "event=request_end id="
+          << fields_.request_id << " outcome=" << outcome
+          << " status=" << status << " why=\"" << why
+          << "\" route=" << (route_ == nullptr ? "-" : route_->name)
+          << " ms=" << (now - arrival_).count() << " first_event_ms="
+          << (events_ > 0 ? (first_event_at_ - arrival_).count() : -1)
+          << " events=" << events_
+          << " longest_pause_ms=" << longest_pause_.count()
+          << " attempts=" << attempts_ << " upstream=" << last_upstream_
+          << " load=" << decided_load_ << " wait_ms=" << decided_wait_.count()
+          << " report_age_ms=" << decided_report_age_.count()
+          << " waited_before_ms=" << waited_before_.count()
+          << " prompt=" << fields_.prompt_tokens << " answer="
+          << fields_.expected_answer_tokens.value_or(fields_.max_answer_tokens)
+          << " weights=" << weights_version_.value_or(0)
+          << " config=" << (routes_ == nullptr ? 0 : routes_->config().version)
+          << " config_age_ms=" << (age ? age->count() : -1));
   // Destroyed from a fresh stack, because callbacks of this object may still
   // be running.
   FleetState* state = state_;
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -38,6 +38,7 @@
   bool Understand();
   bool CheckKey();
   Placement Place(Moment now);
+  Milliseconds ExpectedTime(Milliseconds usual) const;
   void Dispatch();
   std::vector<FleetUpstream*> Candidates(Moment now);
   void Send(const Placement& placement);
--- a/Source/Emulator/fleet_model.h
+++ b/Source/Emulator/fleet_model.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "Core/Fleet/load_order.h"
 #include "Core/Fleet/placement_policy.h"
 #include "Core/Fleet/upstream_registry.h"
 #include "Emulator/emulated_engine.h"
@@ -64,7 +65,9 @@
   std::vector<size_t> DrawEngines(double share);
   void NameVersion();
   void CopyAndLoad(size_t engine, uint64_t version);
-  void LoadInTurn(size_t engine, uint64_t version);
+  void LoadIfDue(size_t engine, uint64_t version);
+  LoadSituation SituationOf(const Engine& engine) const;
+  uint32_t LoadsInMs(const Engine& engine) const;
 
   void Arrive(const std::shared_ptr<Call>& call);
   void Place(const std::shared_ptr<Call>& call);
--- a/Source/Emulator/ideal_bound.cc
+++ b/Source/Emulator/ideal_bound.cc
@@ -28,22 +28,20 @@
 size_t BinOf(double at_ms) { return static_cast<size_t>(at_ms / kBinMs); }
 
 double EnginesAt(const Scenario& scenario, double at_s) {
+  using Kind = Incident::Kind;
   double base = 0;
   for (const EmulatedZone& it : scenario.zones) base += it.engines;
   double out = base;
   for (const Incident& it : scenario.incidents) {
+    double chosen = std::ceil(it.share * base);
     bool is_on = at_s >= it.at_s && at_s < it.at_s + it.for_s;
     bool has_begun = at_s >= it.at_s;
-    if (it.kind == Incident::Kind::kCrash && is_on) {
-      out -= std::ceil(it.share * base);
-    } else if (it.kind == Incident::Kind::kSlow && is_on) {
-      out -= std::ceil(it.share * base) * (1 - 1 / it.factor);
-    } else if (it.kind == Incident::Kind::kDrain && has_begun) {
-      out -= std::ceil(it.share * base);
-    } else if (it.kind == Incident::Kind::kJoin &&
-               at_s >= it.at_s + scenario.copy_ms / kMsPerSecond) {
-      out += std::ceil(it.share * base);
-    }
+    bool is_copied = at_s >= it.at_s + scenario.copy_ms / kMsPerSecond;
+    if (it.kind == Kind::kSlow && is_on) out -= chosen * (1 - 1 / it.factor);
+    if (it.kind == Kind::kJoin && is_copied) out += chosen;
+    bool lost = (it.kind == Kind::kCrash && is_on) ||
+                (it.kind == Kind::kDrain && has_begun);
+    if (lost) out -= chosen;
   }
   return std::max(out, 0.0);
 }
--- a/Source/Emulator/results.cc
+++ b/Source/Emulator/results.cc
@@ -35,6 +35,7 @@
     sizes[it.arrival.request_class].push_back(it.arrival.worth);
   }
   std::vector<double> out;
+  out.reserve(sizes.size());
   for (auto& it : sizes) out.push_back(Percentile(std::move(it), 1 - share));
   return out;
 }
--- a/Source/Emulator/scenario.cc
+++ b/Source/Emulator/scenario.cc
@@ -15,9 +15,9 @@
 constexpr uint32_t kMostCount = 100'000;
 
 const std::vector<std::string_view>& IncidentWords() {
-  static const std::vector<std::string_view> words = {
+  static const std::vector<std::string_view> kWords = {
       "burst", "shift", "leave", "crash", "slow", "join", "version", "drain"};
-  return words;
+  return kWords;
 }
 
 void ReadCount(YamlMapReader* reader, std::string_view key, uint32_t least,
--- a/Source/UnitTests/Fleet/placement_test.cc
+++ b/Source/UnitTests/Fleet/placement_test.cc
@@ -121,6 +121,35 @@
   }
 }
 
+// The load: engines load new weights in turns, each after its last answer.
+TEST_CASE("long answers keep away from engines that load soon") {
+  struct Row {
+    const char* name;
+    int64_t expected_ms;
+    std::optional<int64_t> first_loads_at_ms;
+    std::vector<int> loads;
+    const char* chosen;
+  };
+  const Row rows[] = {
+      {"no load planned", 3000, std::nullopt, {0, 16, 8, 16}, "u0"},
+      {"a short answer ends before", 400, 500, {0, 16, 8, 16}, "u0"},
+      {"a long one would hold the load up", 3000, 500, {0, 16, 8, 16}, "u2"},
+      {"but isn't refused for that", 3000, 500, {0, 30, 30, 30}, "u0"},
+  };
+  auto policy = MakePlacementPolicy("expected-wait");
+  for (const Row& row : rows) {
+    INFO(row.name);
+    Bench bench(row.loads, 1);
+    bench.request.expected_time = Milliseconds(row.expected_ms);
+    if (row.first_loads_at_ms) {
+      bench.upstreams[0].loads_at = Moment(*row.first_loads_at_ms);
+    }
+    Placement placement = bench.Choose(policy.get());
+    REQUIRE(placement.upstream != nullptr);
+    CHECK(placement.upstream->record.id == row.chosen);
+  }
+}
+
 TEST_CASE("what has been begun is placed even where the target is missed") {
   auto policy = MakePlacementPolicy("expected-wait");
   Bench bench({30, 24}, 1);
