--- a/Source/Core/Agent/fleet_agent.cc
+++ b/Source/Core/Agent/fleet_agent.cc
@@ -122,6 +122,12 @@
             "event=datagram_dropped why=\"" << message.error().message << "\"");
     return;
   }
+  if (std::holds_alternative<CrashNews>(message.value())) {
+    for (auto& [router, heard] : routers_) {
+      if (router != from) peers_->Send(bytes, router);
+    }
+    return;
+  }
   const auto* notice = std::get_if<FleetNotice>(&message.value());
   if (notice == nullptr) return;
   if (routers_.insert_or_assign(from, EventLoop::Now()).second) {
--- a/Source/Core/Fleet/fleet_messages.cc
+++ b/Source/Core/Fleet/fleet_messages.cc
@@ -7,7 +7,8 @@
 
 // The first byte tells the kinds apart and changes with their layout.
 constexpr char kNoticeTag = 'n';
-constexpr char kStatusTag = 's';
+constexpr char kStatusTag = 'u';
+constexpr char kCrashTag = 'c';
 
 struct EndpointWire {
   std::string ip;
@@ -59,6 +60,14 @@
                        routers_heard, loads_in_ms);
 };
 
+struct CrashWire {
+  uint64_t request = 0;
+  uint64_t upstream = 0;
+  bool as_suspect = false;
+  uint32_t counts_for_ms = 0;
+  MSGPACK_DEFINE_ARRAY(request, upstream, as_suspect, counts_for_ms);
+};
+
 EndpointWire ToWire(const Endpoint& it) { return {it.ip, it.port}; }
 Endpoint FromWire(const EndpointWire& it) { return {it.ip, it.port}; }
 
@@ -122,8 +131,17 @@
           it.loads_in_ms};
 }
 
+CrashWire ToWire(const CrashNews& it) {
+  return {it.request, it.upstream, it.as_suspect, it.counts_for_ms};
+}
+
+CrashNews FromWire(const CrashWire& it) {
+  return {it.request, it.upstream, it.as_suspect, it.counts_for_ms};
+}
+
 constexpr uint32_t kNoticeFields = 11;
 constexpr uint32_t kStatusFields = 12;
+constexpr uint32_t kCrashFields = 4;
 
 template <typename Wire>
 FleetMessage Unpack(std::string_view bytes, uint32_t fields) {
@@ -139,14 +157,11 @@
 }  // namespace
 
 std::string EncodeMessage(const FleetMessage& message) {
+  static constexpr char kTags[] = {kNoticeTag, kStatusTag, kCrashTag};
   msgpack::sbuffer buf;
-  bool notice = std::holds_alternative<FleetNotice>(message);
-  if (notice) {
-    msgpack::pack(buf, ToWire(std::get<FleetNotice>(message)));
-  } else {
-    msgpack::pack(buf, ToWire(std::get<UpstreamStatus>(message)));
-  }
-  std::string out(1, notice ? kNoticeTag : kStatusTag);
+  std::visit([&buf](const auto& it) { msgpack::pack(buf, ToWire(it)); },
+             message);
+  std::string out(1, kTags[message.index()]);
   return out.append(buf.data(), buf.size());
 }
 
@@ -159,6 +174,9 @@
     if (datagram.starts_with(kStatusTag)) {
       return Unpack<StatusWire>(datagram.substr(1), kStatusFields);
     }
+    if (datagram.starts_with(kCrashTag)) {
+      return Unpack<CrashWire>(datagram.substr(1), kCrashFields);
+    }
   } catch (const std::exception& e) {
     return Fail(ErrorCode::kInvalidArgument,
                 std::string("malformed datagram: ") + e.what());
--- a/Source/Core/Fleet/fleet_messages.h
+++ b/Source/Core/Fleet/fleet_messages.h
@@ -58,7 +58,16 @@
   static constexpr uint32_t kNoLoadPlanned = UINT32_MAX;
 };
 
-using FleetMessage = std::variant<FleetNotice, UpstreamStatus>;
+/// From a router to some agents, which pass it on to the routers that they
+/// hear: a request was running at an upstream that crashed.
+struct CrashNews {
+  uint64_t request = 0;   ///< Fingerprint of the request's content.
+  uint64_t upstream = 0;  ///< Hash of the upstream's id.
+  bool as_suspect = false;
+  uint32_t counts_for_ms = 0;  ///< How much longer the sighting counts.
+};
+
+using FleetMessage = std::variant<FleetNotice, UpstreamStatus, CrashNews>;
 
 /// Thread safe.
 std::string EncodeMessage(const FleetMessage& message);
--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -51,7 +51,10 @@
                 upstream.record.leaving != change.record->leaving ||
                 upstream.record.weights != change.record->weights ||
                 upstream.lapses_at.has_value();
-    if (restarted) upstream.status.reset();
+    if (restarted) {
+      upstream.status.reset();
+      crashed_.push_back(change.id);
+    }
     upstream.record = *change.record;
     upstream.lapses_at.reset();
     if (!news) return;
@@ -73,6 +76,7 @@
                            << change.id << " settled=" << settled << " why=\""
                            << change.why_unusable << "\"");
   if (settled || it->second.record.leaving) {
+    if (!it->second.record.leaving) crashed_.push_back(change.id);
     upstreams_.erase(it);
   } else {
     it->second.lapses_at = lapses_at;
@@ -86,6 +90,11 @@
         now - upstream.status_at < kStatusLifetime) {
       continue;
     }
+    bool was_there = upstream.status && upstream.status->reachable;
+    if (was_there &&
+        (!status.reachable || upstream.status->born_ms != status.born_ms)) {
+      crashed_.push_back(id);
+    }
     if (upstream.status &&
         (upstream.status->reachable != status.reachable ||
          upstream.status->whole_version != status.whole_version)) {
@@ -154,6 +163,10 @@
   upstream->reported_at = now;
 }
 
+std::vector<std::string> UpstreamRegistry::TakeCrashed() {
+  return std::exchange(crashed_, {});
+}
+
 void UpstreamRegistry::Expire(Moment now) {
   std::erase_if(upstreams_, [now](const auto& it) {
     bool over = it.second.lapses_at && now >= *it.second.lapses_at;
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -68,6 +68,9 @@
   void OnEnded(const std::string& id, bool ok, Moment now);
   /// The upstream refused a request without running it.
   void OnRefused(const std::string& id, Moment now);
+  /// Upstreams that are known to have crashed since the last call: they have
+  /// started anew, vanished without leaving, or stopped answering.
+  std::vector<std::string> TakeCrashed();
   /// Drops the upstreams whose grace is over.
   void Expire(Moment now);
 
@@ -82,6 +85,7 @@
 
  private:
   std::map<std::string, FleetUpstream> upstreams_;
+  std::vector<std::string> crashed_;
 };
 
 }  // namespace primrosecove
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -67,7 +67,7 @@
   fields_ = platform::DecodeCaller(exchange_->request().headers);
   if (state_->closing) return Refuse("stopping", kElsewhere);
   if (routes_ == nullptr) return Refuse("no configuration yet", kElsewhere);
-  if (!Understand() || !CheckKey()) return;
+  if (!Understand() || !CheckKey() || !CheckCrashes()) return;
   Milliseconds bound = route_->timeout;
   if (fields_.deadline) bound = std::min(bound, *fields_.deadline);
   bound_ = arrival_ + bound;
@@ -125,6 +125,30 @@
   return true;
 }
 
+uint64_t FleetRequest::Fingerprint() {
+  if (!fingerprint_) {
+    const HttpRequest& request = exchange_->request();
+    fingerprint_ = RequestFingerprint(workspace_, request.target, request.body);
+  }
+  return *fingerprint_;
+}
+
+bool FleetRequest::CheckCrashes() {
+  if (!state_->crashes.any()) return true;
+  switch (state_->crashes.Judge(Fingerprint(), arrival_)) {
+    case SuspectVerdict::kClear:
+      return true;
+    case SuspectVerdict::kSuspect:
+      suspect_ = true;
+      return true;
+    case SuspectVerdict::kBlocked:
+      break;
+  }
+  Refuse("its like has crashed upstreams",
+         state_->crashes.BlockedFor(Fingerprint(), arrival_));
+  return false;
+}
+
 Milliseconds FleetRequest::TimeLeft() const { return bound_ - state_->Now(); }
 
 std::vector<FleetUpstream*> FleetRequest::Candidates(Moment now) {
@@ -132,6 +156,15 @@
   std::erase_if(out, [this](FleetUpstream* it) {
     return tried_.contains(it->record.id);
   });
+  if (suspect_) {
+    // Two suspects at one upstream would hide each other; where there is no
+    // other place, they run all the same.
+    std::vector<FleetUpstream*> apart = out;
+    std::erase_if(apart, [this](FleetUpstream* it) {
+      return state_->crashes.HasSuspectAt(it->record.id);
+    });
+    if (!apart.empty()) out = std::move(apart);
+  }
   if (!service_->engine || !route_->generates) return out;
   uint64_t lowest = state_->versions.Lowest(fields_.model, now);
   std::erase_if(out, [&](FleetUpstream* it) {
@@ -251,6 +284,12 @@
   body_.clear();
   framer_.Reset();
   state_->registry.OnSent(upstream_id_, now);
+  sent_as_suspect_ = false;
+  if (suspect_) {
+    sent_as_suspect_ = !state_->crashes.HasSuspectAt(upstream_id_);
+    state_->crashes.AddSuspectAt(upstream_id_);
+    counted_suspect_ = true;
+  }
   if (attempts_ == 1) state_->AllowanceOf(service_->name).OnRequest(now);
   call_ = state_->client->Send(upstream->record.endpoint, request, options,
                                std::move(events));
@@ -346,6 +385,7 @@
                          << fields_.request_id << " upstream=" << upstream_id_
                          << " status=" << result.head->status);
     state_->registry.OnRefused(upstream_id_, state_->Now());
+    StopCountingSuspect();
     upstream_id_.clear();
     if (fate_ == Fate::kNotSent) fate_ = Fate::kRefused;
     return RetryOrFail("upstreams refused");
@@ -374,11 +414,19 @@
   PC_INFO(kRouter, "event=attempt_failed id="
                        << fields_.request_id << " upstream=" << upstream_id_
                        << " events=" << events_ << " why=\"" << why << "\"");
+  NoteBroken();
   ReleaseUpstream(false);
   fate_ = Fate::kMayHaveRun;
   RetryOrFail(why);
 }
 
+void FleetRequest::NoteBroken() {
+  Moment now = state_->Now();
+  state_->crashes.OnBroken(Fingerprint(), upstream_id_, sent_as_suspect_, now);
+  suspect_ = suspect_ || state_->crashes.Judge(Fingerprint(), now) !=
+                             SuspectVerdict::kClear;
+}
+
 bool FleetRequest::MayTryAgain() {
   if (attempts_ >= route_->max_attempts) return false;
   if (fate_ == Fate::kMayHaveRun && !route_->Repeatable()) return false;
@@ -398,8 +446,14 @@
   GiveUp(why, kElsewhere);
 }
 
+void FleetRequest::StopCountingSuspect() {
+  if (!std::exchange(counted_suspect_, false)) return;
+  state_->crashes.RemoveSuspectAt(upstream_id_);
+}
+
 void FleetRequest::ReleaseUpstream(bool ok) {
   if (upstream_id_.empty()) return;
+  StopCountingSuspect();
   state_->registry.OnEnded(upstream_id_, ok, state_->Now());
   upstream_id_.clear();
 }
@@ -446,6 +500,7 @@
                        << fields_.request_id << " upstream=" << upstream_id_
                        << " events=" << events_ << " why=\"" << why << "\"");
   call_.reset();
+  NoteBroken();
   ReleaseUpstream(false);
   Dispatch();
 }
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -37,6 +37,11 @@
 
   bool Understand();
   bool CheckKey();
+  // Refuses what has crashed upstreams before; notes what may have.
+  bool CheckCrashes();
+  uint64_t Fingerprint();
+  void NoteBroken();
+  void StopCountingSuspect();
   Placement Place(Moment now);
   Milliseconds ExpectedTime(Milliseconds usual) const;
   void Dispatch();
@@ -88,8 +93,12 @@
   Milliseconds decided_wait_{0};
   Milliseconds decided_report_age_{0};
   std::set<std::string> tried_;
-  int attempts_ = 0;  // upstreams that the request was sent to
-  int unsent_ = 0;    // connections that could not be made
+  std::optional<uint64_t> fingerprint_;
+  bool suspect_ = false;          // it was running at an upstream's crash
+  bool counted_suspect_ = false;  // among those at work at its upstream
+  bool sent_as_suspect_ = false;  // the only one of this router where it runs
+  int attempts_ = 0;              // upstreams that the request was sent to
+  int unsent_ = 0;                // connections that could not be made
   Fate fate_ = Fate::kNotSent;
 
   bool streaming_ = false;  // the call at work answers with events
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -23,6 +23,8 @@
 constexpr Milliseconds kCheckPeriod{100};
 constexpr Milliseconds kLogFlushPeriod{100};
 constexpr Milliseconds kStopCheckPeriod{50};
+// Agents that are asked to pass news on; more than one may be down or cut off.
+constexpr int kNewsCarriers = 4;
 // The balancer asks once a second and takes a host out after two misses; until
 // then it sends new connections here, which are still served.
 constexpr Milliseconds kServeWhileStopping{2600};
@@ -113,6 +115,8 @@
       {"repeats_total", "Requests sent once more", &FleetCounters::repeats},
       {"resumed_total", "Streams that went on elsewhere",
        &FleetCounters::resumed},
+      {"crash_sightings_total", "Requests that were running at a crash",
+       &FleetCounters::crash_sightings},
   };
   for (const Row& row : kRows) {
     metrics_.AddCounter(
@@ -278,6 +282,13 @@
             "event=datagram_dropped why=\"" << message.error().message << "\"");
     return;
   }
+  Moment now = state_.Now();
+  if (const auto* news = std::get_if<CrashNews>(&message.value())) {
+    state_.crashes.Learn({news->request, news->upstream, news->as_suspect,
+                          (now + Milliseconds(news->counts_for_ms)).count()},
+                         now);
+    return;
+  }
   const auto* status = std::get_if<UpstreamStatus>(&message.value());
   if (status == nullptr) return;
   state_.registry.TakeStatus(*status, state_.Now());
@@ -337,12 +348,35 @@
 void FleetRouter::CheckRequests() {
   Moment now = state_.Now();
   state_.registry.Expire(now);
+  CheckCrashes(now);
   std::vector<std::shared_ptr<FleetRequest>> all;
   all.reserve(state_.requests.size());
   for (auto& [key, request] : state_.requests) all.push_back(request);
   for (auto& it : all) it->CheckUpstream(now);
 }
 
+// Routers don't know one another; agents pass the news on to all that they
+// hear.
+void FleetRouter::CheckCrashes(Moment now) {
+  for (const std::string& id : state_.registry.TakeCrashed()) {
+    state_.crashes.OnCrash(id, now);
+  }
+  for (const CrashSighting& it : state_.crashes.TakeNews()) {
+    ++state_.counters.crash_sightings;
+    CrashNews news{it.request, it.upstream, it.as_suspect,
+                   static_cast<uint32_t>(it.expires_ms - now.count())};
+    std::string datagram = EncodeMessage(news);
+    int told = 0;
+    for (const auto& [id, upstream] : state_.registry.all()) {
+      bool has_agent = upstream.status.has_value();
+      if (!has_agent || told >= kNewsCarriers) continue;
+      ++told;
+      peers_->Send(datagram,
+                   PeerEndpoint(state_.settings, upstream.record.endpoint.ip));
+    }
+  }
+}
+
 void FleetRouter::Reload() {
   auto settings = platform::ReadSettings(options_.settings_path);
   if (!settings) {
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -49,6 +49,7 @@
   void SendNotices();
   std::vector<FleetNotice> MakeNotices();
   void CheckRequests();
+  void CheckCrashes(Moment now);
   void Reload();
   void CheckStop();
 
--- a/Source/Core/Router/fleet_state.h
+++ b/Source/Core/Router/fleet_state.h
@@ -17,6 +17,7 @@
 #include "Core/Fleet/upstream_registry.h"
 #include "Core/Fleet/version_floor.h"
 #include "Core/Net/http1_client.h"
+#include "Core/Router/crash_watch.h"
 
 namespace primrosecove {
 
@@ -33,6 +34,7 @@
   uint64_t callers_gone = 0;
   uint64_t repeats = 0;
   uint64_t resumed = 0;
+  uint64_t crash_sightings = 0;  ///< Of this router's own.
 };
 
 /// One loop's shared state; use it on that loop's thread only.
@@ -43,6 +45,7 @@
   std::shared_ptr<const RouteTable> routes;  ///< Null until one is known.
   ConfigFreshness freshness{FleetBounds{}};
   UpstreamRegistry registry;
+  CrashWatch crashes;
   VersionFloor versions{Milliseconds(0)};
   std::unique_ptr<PlacementPolicy> policy;
   EarlierWait earlier_wait;
--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -443,6 +443,34 @@
   CHECK(fleet.Ask("/stream/1").head->status == 503);
 }
 
+TEST_CASE("a request that crashes what runs it is soon refused", "[fleet]") {
+  Fleet fleet(64);
+  for (auto& [id, engine] : fleet.engines) engine->SetCrashingBody("body");
+  auto crashes = [&] {
+    int out = 0;
+    for (auto& [id, engine] : fleet.engines) out += engine->crashes();
+    return out;
+  };
+  // It comes again and again, each time with an id of its own. At first it is
+  // like any other, then a suspect that runs alone where it runs.
+  for (uint64_t sightings : {2, 4}) {
+    CHECK(fleet.Ask("/safe/x").head->status == 502);
+    RunUntil(&fleet.loop, [&] {
+      return fleet.router->counters().crash_sightings == sightings;
+    });
+  }
+  CHECK(crashes() == 4);
+  for (int i = 0; i < 5; ++i) {
+    CallResult result = fleet.Ask("/safe/x");
+    CHECK(result.head->status == 503);
+    CHECK(result.head->headers.Find("Retry-After"));
+  }
+  CHECK(crashes() == 4);
+  // Others are served all the while.
+  for (auto& [id, engine] : fleet.engines) engine->SetCrashingBody("");
+  CHECK(fleet.Ask("/safe/other").head->status == 200);
+}
+
 TEST_CASE("another server at a known address runs nothing", "[fleet]") {
   Fleet fleet(80);
   // The address now belongs to another server; the registration is old.
