Leave streams with a leaving server that takes no new connections

An upstream counts as gone now only when it has also sent nothing for 350 ms, a leaving one is not taken for crashed, and a request that is moved goes to the place that was found before it was taken away. Ruled out: the server's end (it ran on for seconds), the change of configuration beside it.

--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -91,10 +91,9 @@
       continue;
     }
     bool was_there = upstream.status && upstream.status->reachable;
-    if (was_there &&
-        (!status.reachable || upstream.status->born_ms != status.born_ms)) {
-      crashed_.push_back(id);
-    }
+    bool gone = was_there && (!status.reachable ||
+                              upstream.status->born_ms != status.born_ms);
+    if (gone && !upstream.record.leaving) crashed_.push_back(id);
     if (upstream.status &&
         (upstream.status->reachable != status.reachable ||
          upstream.status->whole_version != status.whole_version)) {
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -20,6 +20,8 @@
 // An upstream that sends nothing to anybody for so long has stopped: an engine
 // with running requests sends events several times a second.
 constexpr Milliseconds kSilence{900};
+// One that its agent can't reach either has gone after this.
+constexpr Milliseconds kGoneSilence{350};
 // A request that has not begun on a silent engine by then, with no room
 // elsewhere, is given up.
 constexpr Milliseconds kHopeless{1600};
@@ -156,24 +158,24 @@
   std::erase_if(out, [this](FleetUpstream* it) {
     return tried_.contains(it->record.id);
   });
-  if (suspect_) {
-    // Two suspects at one upstream would hide each other; where there is no
-    // other place, they run all the same.
-    std::vector<FleetUpstream*> apart = out;
-    std::erase_if(apart, [this](FleetUpstream* it) {
-      return state_->crashes.HasSuspectAt(it->record.id);
+  if (service_->engine && route_->generates) {
+    uint64_t lowest = state_->versions.Lowest(fields_.model, now);
+    std::erase_if(out, [&](FleetUpstream* it) {
+      uint64_t version =
+          UpstreamRegistry::ServedVersion(*it, fields_.model, now);
+      if (version == 0 || version < lowest) return true;
+      // What has been passed on came from one version of the weights.
+      return events_ > 0 && weights_version_ && version != *weights_version_;
     });
-    if (!apart.empty()) out = std::move(apart);
   }
-  if (!service_->engine || !route_->generates) return out;
-  uint64_t lowest = state_->versions.Lowest(fields_.model, now);
-  std::erase_if(out, [&](FleetUpstream* it) {
-    uint64_t version = UpstreamRegistry::ServedVersion(*it, fields_.model, now);
-    if (version == 0 || version < lowest) return true;
-    // What has been passed on came from one version of the weights.
-    return events_ > 0 && weights_version_ && version != *weights_version_;
+  if (!suspect_) return out;
+  // Two suspects at one upstream would hide each other; where there is no other
+  // place, they run all the same.
+  std::vector<FleetUpstream*> apart = out;
+  std::erase_if(apart, [this](FleetUpstream* it) {
+    return state_->crashes.HasSuspectAt(it->record.id);
   });
-  return out;
+  return apart.empty() ? out : apart;
 }
 
 Placement FleetRequest::Place(Moment now) {
@@ -399,7 +401,8 @@
   state_->TakeTime(service_->name, state_->Now() - sent_at_);
   if (!ok && !exchange_->started()) {
     fate_ = Fate::kMayHaveRun;
-    if (route_->Repeatable() && MayTryAgain()) return Dispatch();
+    auto placement = route_->Repeatable() ? TryPlaceAgain() : std::nullopt;
+    if (placement) return Send(*placement);
   }
   if (exchange_->started()) {
     exchange_->Abort();
@@ -427,22 +430,23 @@
                              SuspectVerdict::kClear;
 }
 
-bool FleetRequest::MayTryAgain() {
-  if (attempts_ >= route_->max_attempts) return false;
-  if (fate_ == Fate::kMayHaveRun && !route_->Repeatable()) return false;
-  if (TimeLeft() <= Milliseconds(0)) return false;
+std::optional<Placement> FleetRequest::TryPlaceAgain() {
+  if (attempts_ >= route_->max_attempts) return std::nullopt;
+  if (fate_ == Fate::kMayHaveRun && !route_->Repeatable()) return std::nullopt;
+  if (TimeLeft() <= Milliseconds(0)) return std::nullopt;
   // Without a place to go, nothing of the allowance is used.
-  if (Place(state_->Now()).upstream == nullptr) return false;
+  Placement placement = Place(state_->Now());
+  if (placement.upstream == nullptr) return std::nullopt;
   if (!state_->AllowanceOf(service_->name).TryRepeat(state_->Now())) {
-    return false;
+    return std::nullopt;
   }
   ++state_->counters.repeats;
   if (events_ > 0) ++state_->counters.resumed;
-  return true;
+  return placement;
 }
 
 void FleetRequest::RetryOrFail(const char* why) {
-  if (MayTryAgain()) return Dispatch();
+  if (auto placement = TryPlaceAgain()) return Send(*placement);
   GiveUp(why, kElsewhere);
 }
 
@@ -470,7 +474,9 @@
     lost = now - heard_at_ > kSilenceOfLeaving;
   } else if (upstream->status && !upstream->status->reachable &&
              now - upstream->status_at < UpstreamRegistry::kStatusLifetime) {
-    lost = true;
+    // One that leaves takes no new connection, not even its agent's, and still
+    // serves what it has.
+    lost = now - std::max(upstream->last_progress, sent_at_) > kGoneSilence;
     why = "upstream has gone";
   } else if (WaitsAtLoadingEngine(*upstream, now)) {
     lost = true;
@@ -487,7 +493,8 @@
   }
   if (!lost) return;
   Fate before = std::exchange(fate_, Fate::kMayHaveRun);
-  if (!MayTryAgain()) {
+  auto placement = TryPlaceAgain();
+  if (!placement) {
     fate_ = before;
     // Its caller can still try elsewhere; a stopped engine would run it when
     // that caller has left.
@@ -502,7 +509,7 @@
   call_.reset();
   NoteBroken();
   ReleaseUpstream(false);
-  Dispatch();
+  Send(*placement);
 }
 
 // A loading engine begins nothing until its running requests have ended and the
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -56,7 +56,9 @@
   void RetryOrFail(const char* why);
   // Ends with what is true: broken off, failed, or refused as not run.
   void GiveUp(const char* why, Milliseconds retry_after);
-  bool MayTryAgain();
+  // Where the request may be sent once more, if it may; uses a repeat of the
+  // allowance then.
+  std::optional<Placement> TryPlaceAgain();
   void ReleaseUpstream(bool ok);
   bool WaitsAtLoadingEngine(const FleetUpstream& upstream, Moment now) const;
   bool IsTooLateToBegin(Moment now) const;
--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -19,6 +19,8 @@
 using platform::StoreStandIn;
 
 constexpr char kKey[] = "secret-key";
+// Events of a stream that lasts over several looks at the requests under way.
+constexpr int kLongStream = 40;
 
 nlohmann::json RouteJson(const char* prefix, const char* type,
                          const char* service, int attempts) {
@@ -420,6 +422,33 @@
   CHECK(fleet.Runs() == 2);
 }
 
+// An upstream that leaves takes no new connections, so its agent reports it as
+// unreachable while its streams go on.
+TEST_CASE("streams of an upstream that takes no new connections stay there",
+          "[fleet]") {
+  Fleet fleet(83);
+  for (auto& [id, engine] : fleet.engines) engine->SetEvents(kLongStream);
+  std::optional<CallResult> result;
+  auto call = fleet.Begin("/stream/1", kKey, {}, &result);
+  RunUntil(&fleet.loop, [&] { return fleet.Runs() == 1; });
+  bool first = !fleet.engines["engine-0"]->runs().empty();
+  UdpSocket agent(&fleet.loop, [](std::string_view, const Endpoint&) {});
+  REQUIRE(agent.Bind({fleet.At(11).ip, 18083}));
+  UpstreamStatus status;
+  status.upstream = fleet.At(first ? 2 : 3);
+  status.sequence = 1;
+  status.reachable = false;
+  Timer repeat = fleet.loop.Every(Milliseconds(5), [&] {
+    ++status.sequence;
+    agent.Send(EncodeMessage(status), {fleet.callers.ip, 18083});
+  });
+  RunUntil(&fleet.loop, [&] { return result.has_value(); });
+  REQUIRE(result->end == CallEnd::kComplete);
+  CHECK(result->body == WholeStream(kLongStream));
+  CHECK(fleet.Runs() == 1);
+  CHECK(fleet.router->counters().repeats == 0);
+}
+
 TEST_CASE("a request that waits at old weights is taken back in time",
           "[fleet]") {
   Fleet fleet(81, Milliseconds(2000));
