Log and count what decides whether a crashing request is refused

The three hypotheses could not be told apart: a loss that found no crash left no line, a crash no evidence or start time, a repeated observation nothing at all, and a suspect that was sent looked like any other request.

No decision changes; unit tests of fleet and membership pass.

--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -54,8 +54,8 @@
                    upstream.record.weights != change.record->weights ||
                    upstream.registration_expires_at.has_value();
     if (restarted) {
+      RecordCrash(upstream, CrashEvidence::kRestarted);
       upstream.status.reset();
-      crashed_.push_back(change.id);
     }
     upstream.record = *change.record;
     upstream.registration_expires_at.reset();
@@ -78,7 +78,9 @@
                            << change.id << " settled=" << settled << " why=\""
                            << change.unusable_reason << "\"");
   if (settled || it->second.record.leaving) {
-    if (!it->second.record.leaving) crashed_.push_back(change.id);
+    if (!it->second.record.leaving) {
+      RecordCrash(it->second, CrashEvidence::kRegistrationEnded);
+    }
     upstreams_.erase(it);
   } else {
     it->second.registration_expires_at = expires_at;
@@ -97,7 +99,10 @@
     bool stopped = was_reachable &&
                    (!status.reachable ||
                     upstream.status->start_time_ms != status.start_time_ms);
-    if (stopped && !upstream.record.leaving) crashed_.push_back(id);
+    if (stopped && !upstream.record.leaving) {
+      RecordCrash(upstream, status.reachable ? CrashEvidence::kRestarted
+                                             : CrashEvidence::kUnreachable);
+    }
     if (upstream.status &&
         (upstream.status->reachable != status.reachable ||
          upstream.status->served_version != status.served_version)) {
@@ -173,8 +178,23 @@
   upstream->load_reported_at = now;
 }
 
-std::vector<std::string> UpstreamRegistry::PopCrashed() {
-  return std::exchange(crashed_, {});
+void UpstreamRegistry::RecordCrash(const FleetUpstream& upstream,
+                                   CrashEvidence evidence) {
+  static constexpr const char* kNames[] = {"registration ended", "restarted",
+                                           "unreachable to its agent"};
+  // The agent's status shows a restart sooner than the registration.
+  int64_t start_time_ms = upstream.record.start_time_ms;
+  if (upstream.status)
+    start_time_ms = std::max(start_time_ms, upstream.status->start_time_ms);
+  PC_INFO(kMembership, "event=upstream_crashed id="
+                           << upstream.record.id << " started=" << start_time_ms
+                           << " why=\"" << kNames[static_cast<size_t>(evidence)]
+                           << "\"");
+  crashes_.push_back({upstream.record.id, start_time_ms, evidence});
+}
+
+std::vector<UpstreamCrash> UpstreamRegistry::PopCrashes() {
+  return std::exchange(crashes_, {});
 }
 
 void UpstreamRegistry::Expire(MonotonicTime now) {
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -49,6 +49,20 @@
   int ExpectedLoad(MonotonicTime now) const;
 };
 
+/// How the crash of an upstream was detected.
+enum class CrashEvidence {
+  kRegistrationEnded,  ///< It disappeared from the store without leaving first.
+  kRestarted,          ///< Its registration or status has a new start time.
+  kUnreachable,        ///< Its agent can't reach it.
+};
+
+/// One detected crash of an upstream.
+struct UpstreamCrash {
+  std::string id;
+  int64_t start_time_ms = 0;  ///< Of the process that crashed; 0 if unknown.
+  CrashEvidence evidence = CrashEvidence::kRegistrationEnded;
+};
+
 /// Holds the upstreams of all services. Not thread safe; the caller supplies
 /// the time.
 class UpstreamRegistry {
@@ -74,10 +88,8 @@
   void OnEnded(const std::string& id, bool ok, MonotonicTime now);
   /// Records that the upstream refused a request without running it.
   void OnRefused(const std::string& id, MonotonicTime now);
-  /// Returns the upstreams that are known to have crashed since the last call:
-  /// they restarted, disappeared without leaving first, or became unreachable
-  /// to their agent.
-  std::vector<std::string> PopCrashed();
+  /// Returns the crashes that were detected since the last call.
+  std::vector<UpstreamCrash> PopCrashes();
   /// Removes the upstreams whose registration grace is over.
   void Expire(MonotonicTime now);
 
@@ -92,8 +104,10 @@
                                 const std::string& model, MonotonicTime now);
 
  private:
+  void RecordCrash(const FleetUpstream& upstream, CrashEvidence evidence);
+
   std::map<std::string, FleetUpstream> upstreams_;
-  std::vector<std::string> crashed_;
+  std::vector<UpstreamCrash> crashes_;
 };
 
 }  // namespace primrosecove
--- a/Source/Core/Membership/suspect_table.h
+++ b/Source/Core/Membership/suspect_table.h
@@ -46,6 +46,8 @@
   SuspectVerdict Classify(uint64_t request, int64_t now_ms) const;
   /// Unix time in ms at which a blocked request may be retried.
   int64_t BlockedUntil(uint64_t request) const;
+  /// Number of observations, including expired ones not removed yet.
+  size_t size() const { return by_request_.size(); }
   /// All observations that have not expired.
   std::vector<CrashObservation> List(int64_t now_ms) const;
 
--- a/Source/Core/Router/crash_correlator.h
+++ b/Source/Core/Router/crash_correlator.h
@@ -11,6 +11,14 @@
 
 namespace primrosecove {
 
+/// Counters that the metrics endpoint exports.
+struct CrashCounters {
+  uint64_t crashes = 0;           ///< Detected crashes of upstreams.
+  uint64_t lost_connections = 0;  ///< Attempts that ended without a response.
+  uint64_t uncorrelated_losses = 0;    ///< Of these, without a known crash.
+  uint64_t repeated_observations = 0;  ///< Observations known already.
+};
+
 /// Crash observations of one router and those received from other routers. A
 /// connection can be lost for many reasons, so a loss counts only if its
 /// upstream crashed at about the same time. Handles the load in which one
@@ -26,6 +34,8 @@
   /// Records the crash of an upstream. Connections to it that were lost shortly
   /// before or after become crash observations.
   void OnUpstreamCrash(const std::string& upstream_id, MonotonicTime now);
+  /// Removes lost connections and crashes that can't be correlated any more.
+  void RemoveExpired(MonotonicTime now);
   /// Returns the observations made since the last call, for other routers.
   std::vector<CrashObservation> PopNewObservations();
   /// Adds an observation that another router made.
@@ -42,6 +52,9 @@
     return Milliseconds(table_.BlockedUntil(request)) - now;
   }
 
+  const CrashCounters& counters() const { return counters_; }
+  const SuspectTable& table() const { return table_; }
+
   /// Counts this router's suspects in flight at an upstream.
   void AddActiveSuspect(const std::string& upstream_id) {
     ++active_suspects_[upstream_id];
@@ -61,9 +74,9 @@
 
   void RecordObservation(const LostConnection& lost_connection,
                          MonotonicTime now);
-  void RemoveExpired(MonotonicTime now);
 
   SuspectTable table_;
+  CrashCounters counters_;
   bool has_observations_ = false;
   std::vector<LostConnection> lost_connections_;  ///< Without a known crash.
   std::map<std::string, MonotonicTime> recent_crashes_;  ///< Time by upstream.
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -152,6 +152,11 @@
     case SuspectVerdict::kBlocked:
       break;
   }
+  ++state_->counters.suspects_refused;
+  PC_INFO(kRouter,
+          "event=suspect_refused id="
+              << fields_.request_id << " request=" << Fingerprint()
+              << " observations=" << state_->crash_correlator.table().size());
   Refuse("an identical request has crashed upstreams",
          state_->crash_correlator.BlockedTimeLeft(Fingerprint(), arrived_at_));
   return false;
@@ -310,6 +315,11 @@
     sent_as_suspect_ = !state_->crash_correlator.HasActiveSuspect(upstream_id_);
     state_->crash_correlator.AddActiveSuspect(upstream_id_);
     counted_as_suspect_ = true;
+    ++state_->counters.suspects_sent;
+    PC_INFO(kRouter, "event=suspect_sent id=" << fields_.request_id
+                                              << " request=" << Fingerprint()
+                                              << " upstream=" << upstream_id_
+                                              << " alone=" << sent_as_suspect_);
   }
   if (attempts_ == 1) state_->RetryBudgetFor(service_->name).OnRequest(now);
   call_ = state_->client->Send(upstream->record.endpoint, request, options,
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -120,6 +120,11 @@
        &FleetCounters::resumed_streams},
       {"crash_sightings_total", "Requests that were running at a crash",
        &FleetCounters::crash_observations},
+      {"suspects_sent_total", "Suspects of a crash sent to an upstream",
+       &FleetCounters::suspects_sent},
+      {"suspects_refused_total",
+       "Requests refused because they crash upstreams",
+       &FleetCounters::suspects_refused},
   };
   for (const Row& row : kRows) {
     metrics_.AddCounter(
@@ -128,6 +133,7 @@
           return static_cast<double>(state_.counters.*row.member);
         });
   }
+  AddCrashMetrics();
   metrics_.AddGauge(
       "primrosecove_router_config_version",
       "Version of the configuration in force", {}, [this] {
@@ -150,6 +156,36 @@
                             "From a request's arrival to its first event");
 }
 
+void FleetRouter::AddCrashMetrics() {
+  struct Row {
+    const char* name;
+    const char* help;
+    uint64_t CrashCounters::*member;
+  };
+  static constexpr Row kRows[] = {
+      {"upstream_crashes_total", "Detected crashes of upstreams",
+       &CrashCounters::crashes},
+      {"lost_connections_total", "Attempts that ended without a response",
+       &CrashCounters::lost_connections},
+      {"uncorrelated_losses_total", "Lost connections without a known crash",
+       &CrashCounters::uncorrelated_losses},
+      {"repeated_crash_observations_total", "Observations known already",
+       &CrashCounters::repeated_observations},
+  };
+  for (const Row& row : kRows) {
+    metrics_.AddCounter(std::string("primrosecove_router_") + row.name,
+                        row.help, {}, [this, row] {
+                          return static_cast<double>(
+                              state_.crash_correlator.counters().*row.member);
+                        });
+  }
+  metrics_.AddGauge(
+      "primrosecove_router_crash_observations",
+      "Crash observations known to this router", {}, [this] {
+        return static_cast<double>(state_.crash_correlator.table().size());
+      });
+}
+
 Result<void> FleetRouter::Start() {
   state_.policy = MakePlacementPolicy(options_.placement);
   if (state_.policy == nullptr) {
@@ -368,9 +404,10 @@
 // Routers have no addresses of each other, so agents forward crash reports to
 // all routers that they receive updates from.
 void FleetRouter::ReportCrashes(MonotonicTime now) {
-  for (const std::string& id : state_.registry.PopCrashed()) {
-    state_.crash_correlator.OnUpstreamCrash(id, now);
+  for (const UpstreamCrash& it : state_.registry.PopCrashes()) {
+    state_.crash_correlator.OnUpstreamCrash(it.id, now);
   }
+  state_.crash_correlator.RemoveExpired(now);
   for (const CrashObservation& it :
        state_.crash_correlator.PopNewObservations()) {
     ++state_.counters.crash_observations;
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -41,6 +41,7 @@
 
  private:
   void AddMetrics();
+  void AddCrashMetrics();
   void HandleRequest(std::shared_ptr<Http1Exchange> exchange);
   void HandleReadiness(std::shared_ptr<Http1Exchange> exchange);
   void ApplyChange(const DeploymentChange& change);
--- a/Source/Core/Router/fleet_state.h
+++ b/Source/Core/Router/fleet_state.h
@@ -35,6 +35,8 @@
   uint64_t retries = 0;
   uint64_t resumed_streams = 0;
   uint64_t crash_observations = 0;  ///< Made by this router itself.
+  uint64_t suspects_sent = 0;
+  uint64_t suspects_refused = 0;
 };
 
 /// Shared state of one event loop; use it on that loop's thread only.
