Report the crash of an upstream whose registration ends in a store outage

Cause: a registration that ended while the store was away is removed by Expire after the grace, and Expire, other than Apply, reported no crash. Evidence: the new test failed before, '0 == 1' in the row 'ended in an outage and still missing after the grace'; passes now. The rows for left upstreams passed before and after.

--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -198,11 +198,12 @@
 }
 
 void UpstreamRegistry::Expire(MonotonicTime now) {
-  std::erase_if(upstreams_, [now](const auto& it) {
+  std::erase_if(upstreams_, [this, now](const auto& it) {
     bool expired = it.second.registration_expires_at &&
                    now >= *it.second.registration_expires_at;
     if (expired) {
       PC_INFO(kMembership, "event=upstream_expired id=" << it.first);
+      RecordCrash(it.second, CrashEvidence::kRegistrationEnded);
     }
     return expired;
   });
--- a/Source/UnitTests/Fleet/upstream_registry_test.cc
+++ b/Source/UnitTests/Fleet/upstream_registry_test.cc
@@ -57,6 +57,38 @@
   CHECK(registry.Usable("s", MonotonicTime(9000)).size() == 1);
 }
 
+// Guards against requests that crash upstreams unnoticed around a store outage:
+// the removal after the grace was not reported as a crash.
+TEST_CASE("a registration that ends without leaving is a crash, once") {
+  struct Row {
+    const char* name;
+    int64_t reachable_since_ms;
+    bool leaving;
+    size_t crashes;
+  };
+  const Row rows[] = {
+      {"the store was always reachable", -9000, false, 1},
+      {"ended in an outage and still missing after the grace", 1000, false, 1},
+      {"left", -9000, true, 0},
+      {"left during an outage", 1000, true, 0},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    UpstreamRegistry registry;
+    MonotonicTime reachable_since(row.reachable_since_ms);
+    registry.Apply(Registered("a", row.leaving), reachable_since,
+                   MonotonicTime(0));
+    registry.Apply({"a", std::nullopt, ""}, reachable_since,
+                   MonotonicTime(1010));
+    registry.Expire(MonotonicTime(9000));
+    registry.Expire(MonotonicTime(9100));
+    auto crashes = registry.PopCrashes();
+    REQUIRE(crashes.size() == row.crashes);
+    if (!crashes.empty()) CHECK(crashes[0].id == "a");
+    CHECK(registry.PopCrashes().empty());
+  }
+}
+
 TEST_CASE("leaving, unreachable and loading upstreams get no requests") {
   struct Row {
     const char* name;
