Correlate lost connections with crashes for as long as a crash can stay unknown

Cause: a fixed window of 4 s for evidence whose delay depends on the heartbeat and on the store. Change: the time is derived from the heartbeat, does not run while the store is unreachable, and is bounded by a count. A crash that was detected while the attempt was in flight counts however late the attempt ends; one detected before it was sent does not. The row 'crash outside the window before the loss' of the test is replaced by two that name the reason (the attempt was sent after the crash). The new test failed with the old window in the rows 'the last heartbeat was just before the crash', 'a longer heartbeat', 'the store returns after the crash'.

--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -67,9 +67,19 @@
 /// the time.
 class UpstreamRegistry {
  public:
+  /// A registration ends after this many heartbeats without renewal.
+  static constexpr int kHeartbeatsToExpire = 3;
+  /// From the end of a registration to its removal here: the store's lag, the
+  /// interval of watches, and kRegistrationGrace after an outage.
+  static constexpr Milliseconds kMaxWatchDelay{3000};
   /// How long after the store has become reachable again a registration that
   /// ended in the meantime may return.
   static constexpr Milliseconds kRegistrationGrace{1800};
+  /// Returns the longest time from an upstream's crash to its detection while
+  /// the store is reachable.
+  static constexpr Milliseconds MaxDetectionTime(Milliseconds heartbeat) {
+    return kHeartbeatsToExpire * heartbeat + kMaxWatchDelay;
+  }
   /// An older status is ignored.
   static constexpr Milliseconds kStatusLifetime{1500};
 
--- a/Source/Core/Router/crash_correlator.cc
+++ b/Source/Core/Router/crash_correlator.cc
@@ -1,5 +1,6 @@
 #include "Core/Router/crash_correlator.h"
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 
@@ -8,42 +9,44 @@
 namespace primrosecove {
 namespace {
 
-// A crash is detected by an expired registration, a restart or missed
-// responses, each within a few seconds of the connection losses.
-constexpr Milliseconds kCorrelationWindow{4000};
+// Time for which a crash is remembered. No attempt is in flight for longer.
+constexpr Milliseconds kCrashLifetime{SuspectTable::kLifetimeMs};
 
 }  // namespace
 
-void CrashCorrelator::OnConnectionLost(uint64_t request,
-                                       const std::string& upstream_id,
-                                       bool as_suspect, MonotonicTime now) {
-  RemoveExpired(now);
+void CrashCorrelator::OnConnectionLost(const LostAttempt& attempt,
+                                       MonotonicTime now) {
   ++counters_.lost_connections;
-  LostConnection lost_connection{request, upstream_id, as_suspect, now};
-  if (recent_crashes_.contains(upstream_id))
+  auto crash = last_crashes_.find(attempt.upstream_id);
+  LostConnection lost_connection{attempt, now};
+  // A crash that was detected before the attempt ended another process.
+  if (crash != last_crashes_.end() && crash->second >= attempt.sent_at)
     return RecordObservation(lost_connection, now);
+  if (lost_connections_.size() >= kMaxLostConnections) {
+    DropLostConnection(lost_connections_.front(), now);
+    lost_connections_.pop_front();
+  }
   lost_connections_.push_back(std::move(lost_connection));
 }
 
-void CrashCorrelator::OnUpstreamCrash(const std::string& upstream_id,
+void CrashCorrelator::OnUpstreamCrash(const UpstreamCrash& crash,
                                       MonotonicTime now) {
-  RemoveExpired(now);
   ++counters_.crashes;
-  recent_crashes_[upstream_id] = now;
-  for (const LostConnection& it : lost_connections_) {
-    if (it.upstream_id == upstream_id) RecordObservation(it, now);
-  }
-  std::erase_if(lost_connections_, [&upstream_id](const LostConnection& it) {
-    return it.upstream_id == upstream_id;
+  last_crashes_[crash.id] = now;
+  std::erase_if(lost_connections_, [&](const LostConnection& it) {
+    if (it.attempt.upstream_id != crash.id) return false;
+    RecordObservation(it, now);
+    return true;
   });
 }
 
 void CrashCorrelator::RecordObservation(const LostConnection& lost_connection,
                                         MonotonicTime now) {
+  const LostAttempt& attempt = lost_connection.attempt;
   CrashObservation observation;
-  observation.request = lost_connection.request;
-  observation.upstream = std::hash<std::string>{}(lost_connection.upstream_id);
-  observation.as_suspect = lost_connection.as_suspect;
+  observation.request = attempt.request;
+  observation.upstream = std::hash<std::string>{}(attempt.upstream_id);
+  observation.as_suspect = attempt.as_suspect;
   observation.expires_ms = now.count() + SuspectTable::kLifetimeMs;
   has_observations_ = true;
   bool is_new = table_.Add(observation, now.count());
@@ -52,30 +55,39 @@
   } else {
     ++counters_.repeated_observations;
   }
-  PC_WARN(
-      kRouter,
-      "event=crash_sighted request="
-          << lost_connection.request
-          << " upstream=" << lost_connection.upstream_id
-          << " as_suspect=" << lost_connection.as_suspect << " new=" << is_new
-          << " delay_ms=" << (now - lost_connection.at).count() << " verdict="
-          << static_cast<int>(ClassifyRequest(lost_connection.request, now)));
+  PC_WARN(kRouter,
+          "event=crash_sighted request="
+              << attempt.request << " upstream=" << attempt.upstream_id
+              << " as_suspect=" << attempt.as_suspect << " new=" << is_new
+              << " delay_ms=" << (now - lost_connection.at).count()
+              << " verdict="
+              << static_cast<int>(ClassifyRequest(attempt.request, now)));
 }
 
-void CrashCorrelator::RemoveExpired(MonotonicTime now) {
-  std::erase_if(lost_connections_, [this, now](const LostConnection& it) {
-    bool expired = now - it.at > kCorrelationWindow;
-    if (expired) {
-      ++counters_.uncorrelated_losses;
-      PC_INFO(kRouter, "event=loss_uncorrelated request="
-                           << it.request << " upstream=" << it.upstream_id
-                           << " age_ms=" << (now - it.at).count());
-    }
-    return expired;
-  });
-  std::erase_if(recent_crashes_, [now](const auto& it) {
-    return now - it.second > kCorrelationWindow;
+void CrashCorrelator::DropLostConnection(const LostConnection& lost_connection,
+                                         MonotonicTime now) {
+  ++counters_.uncorrelated_losses;
+  PC_INFO(kRouter, "event=loss_uncorrelated request="
+                       << lost_connection.attempt.request
+                       << " upstream=" << lost_connection.attempt.upstream_id
+                       << " age_ms=" << (now - lost_connection.at).count());
+}
+
+void CrashCorrelator::RemoveExpired(
+    MonotonicTime now, std::optional<MonotonicTime> store_reachable_since) {
+  std::erase_if(last_crashes_, [now](const auto& it) {
+    return now - it.second > kCrashLifetime;
   });
+  if (!store_reachable_since) return;
+  while (!lost_connections_.empty()) {
+    const LostConnection& oldest = lost_connections_.front();
+    if (now - std::max(oldest.at, *store_reachable_since) <=
+        max_detection_time_) {
+      return;
+    }
+    DropLostConnection(oldest, now);
+    lost_connections_.pop_front();
+  }
 }
 
 std::vector<CrashObservation> CrashCorrelator::PopNewObservations() {
--- a/Source/Core/Router/crash_correlator.h
+++ b/Source/Core/Router/crash_correlator.h
@@ -2,7 +2,9 @@
 // crash every upstream that executes them.
 #pragma once
 
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,23 +21,41 @@
   uint64_t repeated_observations = 0;  ///< Observations known already.
 };
 
+/// An attempt that ended without a response: its connection was lost or its
+/// upstream was silent.
+struct LostAttempt {
+  uint64_t request = 0;  ///< Fingerprint of the request's content.
+  std::string upstream_id;
+  /// It was this router's only active suspect at that upstream.
+  bool as_suspect = false;
+  MonotonicTime sent_at{0};
+};
+
 /// Crash observations of one router and those received from other routers. A
 /// connection can be lost for many reasons, so a loss counts only if its
-/// upstream crashed at about the same time. Handles the load in which one
-/// request is sent repeatedly and crashes an upstream each time. Not thread
-/// safe; callers pass the current time.
+/// upstream crashed while the request was running there. Handles the load in
+/// which one request is sent repeatedly and crashes an upstream each time. Not
+/// thread safe; callers pass the current time.
 class CrashCorrelator {
  public:
-  /// Records an attempt that ended because its upstream was silent or its
-  /// connection was lost. `as_suspect`: it was this router's only active
-  /// suspect at that upstream.
-  void OnConnectionLost(uint64_t request, const std::string& upstream_id,
-                        bool as_suspect, MonotonicTime now);
-  /// Records the crash of an upstream. Connections to it that were lost shortly
-  /// before or after become crash observations.
-  void OnUpstreamCrash(const std::string& upstream_id, MonotonicTime now);
-  /// Removes lost connections and crashes that can't be correlated any more.
-  void RemoveExpired(MonotonicTime now);
+  /// Maximum number of lost connections that await the detection of a crash;
+  /// beyond it the oldest one is dropped.
+  static constexpr size_t kMaxLostConnections = 4096;
+
+  /// `max_detection_time`: the longest time from a crash to its detection while
+  /// the store is reachable.
+  explicit CrashCorrelator(Milliseconds max_detection_time = Milliseconds(4000))
+      : max_detection_time_(max_detection_time) {}
+
+  void OnConnectionLost(const LostAttempt& attempt, MonotonicTime now);
+  /// Records the crash of an upstream. Attempts that were running there become
+  /// crash observations, whether their loss is already known or not.
+  void OnUpstreamCrash(const UpstreamCrash& crash, MonotonicTime now);
+  /// Removes the lost connections whose upstreams would be known to have
+  /// crashed by now. While the store is unreachable (`store_reachable_since` is
+  /// empty), crashes stay undetected, so none is removed.
+  void RemoveExpired(MonotonicTime now,
+                     std::optional<MonotonicTime> store_reachable_since);
   /// Returns the observations made since the last call, for other routers.
   std::vector<CrashObservation> PopNewObservations();
   /// Adds an observation that another router made.
@@ -66,21 +86,24 @@
 
  private:
   struct LostConnection {
-    uint64_t request = 0;
-    std::string upstream_id;
-    bool as_suspect = false;
+    LostAttempt attempt;
     MonotonicTime at{0};
   };
 
   void RecordObservation(const LostConnection& lost_connection,
                          MonotonicTime now);
+  void DropLostConnection(const LostConnection& lost_connection,
+                          MonotonicTime now);
 
+  Milliseconds max_detection_time_;
   SuspectTable table_;
   CrashCounters counters_;
   bool has_observations_ = false;
-  std::vector<LostConnection> lost_connections_;  ///< Without a known crash.
-  std::map<std::string, MonotonicTime> recent_crashes_;  ///< Time by upstream.
-  std::map<std::string, int> active_suspects_;           ///< Count by upstream.
+  /// Those without a known crash, in the order of their time.
+  std::deque<LostConnection> lost_connections_;
+  /// Time of the last crash detected, by upstream.
+  std::map<std::string, MonotonicTime> last_crashes_;
+  std::map<std::string, int> active_suspects_;  ///< Count by upstream.
   std::vector<CrashObservation> new_observations_;
 };
 
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -464,8 +464,8 @@
 
 void FleetRequest::RecordConnectionLoss() {
   MonotonicTime now = state_->Now();
-  state_->crash_correlator.OnConnectionLost(Fingerprint(), upstream_id_,
-                                            sent_as_suspect_, now);
+  state_->crash_correlator.OnConnectionLost(
+      {Fingerprint(), upstream_id_, sent_as_suspect_, sent_at_}, now);
   is_suspect_ = is_suspect_ ||
                 state_->crash_correlator.ClassifyRequest(Fingerprint(), now) !=
                     SuspectVerdict::kClear;
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -89,6 +89,8 @@
   state_.client = std::make_unique<Http1Client>(loop_);
   const FleetBounds& bounds = state_.settings.bounds;
   state_.freshness = ConfigFreshness(bounds);
+  state_.crash_correlator = CrashCorrelator(
+      UpstreamRegistry::MaxDetectionTime(state_.settings.heartbeat));
   state_.minimum_versions = MinimumVersion(bounds.version);
   state_.random.seed(RandomU64());
   AddMetrics();
@@ -274,7 +276,7 @@
   if (const auto* config = std::get_if<FleetConfig>(&change)) {
     ApplyConfig(*config);
   } else if (const auto* upstream = std::get_if<UpstreamChange>(&change)) {
-    state_.registry.Apply(*upstream, store_reachable_since_, now);
+    state_.registry.Apply(*upstream, last_store_return_, now);
     update_due_ = true;
   } else if (const auto* target = std::get_if<TargetVersion>(&change)) {
     if (target->version > state_.minimum_versions.NewestTarget(target->model)) {
@@ -316,7 +318,12 @@
 }
 
 void FleetRouter::OnStoreReachable(bool reachable) {
-  if (reachable) store_reachable_since_ = state_.Now();
+  if (reachable) {
+    last_store_return_ = state_.Now();
+    store_reachable_since_ = last_store_return_;
+  } else {
+    store_reachable_since_.reset();
+  }
 }
 
 void FleetRouter::HandleDatagram(std::string_view bytes) {
@@ -405,9 +412,9 @@
 // all routers that they receive updates from.
 void FleetRouter::ReportCrashes(MonotonicTime now) {
   for (const UpstreamCrash& it : state_.registry.PopCrashes()) {
-    state_.crash_correlator.OnUpstreamCrash(it.id, now);
+    state_.crash_correlator.OnUpstreamCrash(it, now);
   }
-  state_.crash_correlator.RemoveExpired(now);
+  state_.crash_correlator.RemoveExpired(now, store_reachable_since_);
   for (const CrashObservation& it :
        state_.crash_correlator.PopNewObservations()) {
     ++state_.counters.crash_observations;
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -69,7 +69,8 @@
   bool initial_read_done_ = false;
   bool update_due_ = false;
   bool was_ready_ = false;
-  MonotonicTime store_reachable_since_{0};
+  MonotonicTime last_store_return_{0};
+  std::optional<MonotonicTime> store_reachable_since_{MonotonicTime(0)};
   MonotonicTime stop_started_at_{0};
   MonotonicTime last_busy_at_{
       0};  ///< Last time with unfinished responses while stopping.
--- a/Source/UnitTests/Router/crash_correlator_test.cc
+++ b/Source/UnitTests/Router/crash_correlator_test.cc
@@ -14,27 +14,34 @@
     "a lost connection makes a suspect only near a crash of its upstream") {
   struct Row {
     const char* name;
+    int64_t sent_at;
     int64_t lost_at;
     int64_t crashed_at;  // -1: never.
     bool suspect;
   };
   const Row rows[] = {
-      {"crash detected after the connection loss", 0, 900, true},
-      {"crash detected before the connection loss", 900, 0, true},
-      {"connection loss without a crash", 0, -1, false},
-      {"crash outside the window after the loss", 0, 6000, false},
-      {"crash outside the window before the loss", 6000, 0, false},
+      {"crash detected after the connection loss", -100, 0, 900, true},
+      {"crash detected before the connection loss", -100, 900, 0, true},
+      {"crash detected long before a silent attempt ends", -100, 6000, 0, true},
+      {"connection loss without a crash", -100, 0, -1, false},
+      {"crash outside the window after the loss", -100, 0, 6000, false},
+      {"crash before the attempt was sent", 5900, 6000, 0, false},
+      {"crash just before the attempt was sent", 100, 200, 0, false},
   };
   for (const Row& row : rows) {
     INFO(row.name);
-    CrashCorrelator correlator;
+    CrashCorrelator correlator(Milliseconds(4000));
     auto crash = [&] {
-      if (row.crashed_at >= 0)
-        correlator.OnUpstreamCrash("u1", kStart + Milliseconds(row.crashed_at));
+      if (row.crashed_at < 0) return;
+      MonotonicTime at = kStart + Milliseconds(row.crashed_at);
+      correlator.RemoveExpired(at, kStart);
+      correlator.OnUpstreamCrash({"u1", 1}, at);
     };
     auto lost_connection = [&] {
-      correlator.OnConnectionLost(kCrashingRequest, "u1", false,
-                                  kStart + Milliseconds(row.lost_at));
+      correlator.RemoveExpired(kStart + Milliseconds(row.lost_at), kStart);
+      correlator.OnConnectionLost(
+          {kCrashingRequest, "u1", false, kStart + Milliseconds(row.sent_at)},
+          kStart + Milliseconds(row.lost_at));
     };
     bool crash_first = row.crashed_at >= 0 && row.crashed_at < row.lost_at;
     if (crash_first) crash();
@@ -48,10 +55,62 @@
   }
 }
 
+// Guards against crashing requests that stay unknown because their upstream's
+// crash is detected late: a registration ends three heartbeats after the last
+// one, and not at all while the store is unreachable.
+TEST_CASE("a crash is correlated as late as its registration can end") {
+  struct Row {
+    const char* name;
+    int64_t heartbeat_ms;
+    int64_t outage_ends_at;  // 0: no outage.
+    int64_t crashed_at;
+    bool suspect;
+  };
+  const Row rows[] = {
+      {"the last heartbeat was just before the crash", 1200, 0, 5000, true},
+      {"a longer heartbeat", 2000, 0, 7400, true},
+      {"the connection was lost for another reason", 1200, 0, 9000, false},
+      {"the store returns after the crash", 1200, 20'000, 21'900, true},
+      {"the upstream outlived the outage", 1200, 20'000, 29'000, false},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    CrashCorrelator correlator(
+        UpstreamRegistry::MaxDetectionTime(Milliseconds(row.heartbeat_ms)));
+    correlator.OnConnectionLost({kCrashingRequest, "u1", false, kStart},
+                                kStart);
+    // The router looks ten times a second.
+    constexpr Milliseconds kPeriod{100};
+    MonotonicTime outage_end = kStart + Milliseconds(row.outage_ends_at);
+    MonotonicTime crash = kStart + Milliseconds(row.crashed_at);
+    for (MonotonicTime now = kStart; now < crash; now += kPeriod) {
+      std::optional<MonotonicTime> reachable_since;
+      if (now >= outage_end) reachable_since = outage_end;
+      correlator.RemoveExpired(now, reachable_since);
+    }
+    correlator.OnUpstreamCrash({"u1", 1}, crash);
+    CHECK((correlator.ClassifyRequest(kCrashingRequest, crash) ==
+           SuspectVerdict::kSuspect) == row.suspect);
+  }
+}
+
+TEST_CASE("lost connections that await a crash are bounded") {
+  CrashCorrelator correlator;
+  for (uint64_t i = 0; i < 2 * CrashCorrelator::kMaxLostConnections; ++i) {
+    correlator.OnConnectionLost({i, "u1", false, kStart}, kStart);
+  }
+  CHECK(correlator.counters().uncorrelated_losses ==
+        CrashCorrelator::kMaxLostConnections);
+  correlator.OnUpstreamCrash({"u1", 1}, kStart);
+  CHECK(correlator.ClassifyRequest(0, kStart) == SuspectVerdict::kClear);
+  CHECK(correlator.ClassifyRequest(2 * CrashCorrelator::kMaxLostConnections - 1,
+                                   kStart) == SuspectVerdict::kSuspect);
+}
+
 TEST_CASE("a crash of another upstream makes no suspect") {
   CrashCorrelator correlator;
-  correlator.OnConnectionLost(kCrashingRequest, "u1", false, kStart);
-  correlator.OnUpstreamCrash("u2", kStart);
+  correlator.OnConnectionLost({kCrashingRequest, "u1", false, kStart}, kStart);
+  correlator.OnUpstreamCrash({"u2", 1}, kStart);
   CHECK(correlator.ClassifyRequest(kCrashingRequest, kStart) ==
         SuspectVerdict::kClear);
 }
@@ -59,10 +118,10 @@
 TEST_CASE("crashes at two upstreams block a request, also across routers") {
   CrashCorrelator first;
   CrashCorrelator second;
-  first.OnConnectionLost(kCrashingRequest, "u1", false, kStart);
-  first.OnUpstreamCrash("u1", kStart);
-  second.OnConnectionLost(kCrashingRequest, "u2", true, kStart);
-  second.OnUpstreamCrash("u2", kStart);
+  first.OnConnectionLost({kCrashingRequest, "u1", false, kStart}, kStart);
+  first.OnUpstreamCrash({"u1", 1}, kStart);
+  second.OnConnectionLost({kCrashingRequest, "u2", true, kStart}, kStart);
+  second.OnUpstreamCrash({"u2", 1}, kStart);
   for (const CrashObservation& it : first.PopNewObservations())
     second.AddRemoteObservation(it, kStart);
   CHECK(first.ClassifyRequest(kCrashingRequest, kStart) ==
