Count attempts that this router ends at a silent upstream as lost

Change: such an attempt is recorded as lost if its upstream has been silent on all connections; it still becomes an observation only with a crash of that upstream. The new test failed before in both rows, '0 == 1'; the fleet's unit tests pass.

--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -471,6 +471,19 @@
                     SuspectVerdict::kClear;
 }
 
+// An attempt that this router ends counts as lost if its upstream has crashed.
+// The upstream's silence on all connections distinguishes this from an attempt
+// that was merely slow.
+void FleetRequest::RecordLossIfSilent() {
+  if (call_ == nullptr) return;
+  const FleetUpstream* upstream = state_->registry.Find(upstream_id_);
+  MonotonicTime last_sign = upstream == nullptr
+                                ? last_data_at_
+                                : std::max(upstream->last_progress, sent_at_);
+  if (state_->Now() - last_sign > kUnreachableSilenceTimeout)
+    RecordConnectionLoss();
+}
+
 std::optional<Placement> FleetRequest::TryPlaceRetry() {
   if (attempts_ >= route_->max_attempts) return std::nullopt;
   if (execution_state_ == ExecutionState::kMayHaveExecuted &&
@@ -586,6 +599,7 @@
   PC_INFO(kRouter, "event=attempt_abandoned id="
                        << fields_.request_id << " upstream=" << upstream_id_
                        << " events=0 why=\"" << why << "\"");
+  RecordLossIfSilent();
   call_.reset();
   ReleaseUpstream(true);
   execution_state_ = ExecutionState::kMayHaveExecuted;
@@ -595,6 +609,7 @@
 void FleetRequest::HandleTimeout() {
   if (ended_) return;
   if (call_ != nullptr) execution_state_ = ExecutionState::kMayHaveExecuted;
+  RecordLossIfSilent();
   call_.reset();
   ReleaseUpstream(service_->engine.has_value());
   if (!exchange_->started() &&
@@ -607,6 +622,7 @@
 void FleetRequest::HandleDisconnect() {
   if (ended_) return;
   ++state_->counters.caller_disconnects;
+  RecordLossIfSilent();
   call_.reset();
   ReleaseUpstream(true);
   Finish("caller_gone", 0, "");
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -42,6 +42,7 @@
   bool CheckSuspect();
   uint64_t Fingerprint();
   void RecordConnectionLoss();
+  void RecordLossIfSilent();
   void ReleaseSuspect();
   Placement ChoosePlacement(MonotonicTime now);
   Milliseconds EstimateServiceTime(Milliseconds mean) const;
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -37,6 +37,9 @@
   void BeginStop();
   const FleetCounters& counters() const { return state_.counters; }
   const UpstreamRegistry& registry() const { return state_.registry; }
+  const CrashCorrelator& crash_correlator() const {
+    return state_.crash_correlator;
+  }
   bool IsReady() const;
 
  private:
--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -519,6 +519,43 @@
   CHECK(fixture.SendAndWait("/safe/other").head->status == 200);
 }
 
+// Guards against crashing requests that stay unknown because their attempt is
+// ended by its deadline or its caller while the crashed upstream is silent.
+TEST_CASE("an attempt that ends at a silent upstream is a lost connection",
+          "[fleet]") {
+  struct Row {
+    const char* name;
+    bool caller_leaves;
+    uint64_t observations;
+  };
+  const Row rows[] = {
+      {"the deadline passes", false, 1},
+      {"the caller leaves", true, 1},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    RouterFixture fixture(84);
+    fixture.SetFault(EngineFault::kNoResponse, 1);
+    std::optional<CallResult> result;
+    auto call = fixture.StartRequest("/once/x", kApiKey, {}, &result);
+    RunUntil(&fixture.loop, [&] { return fixture.ExecutionCount() == 1; });
+    if (row.caller_leaves) {
+      SteadyTime sent_at = EventLoop::Now();
+      RunUntil(&fixture.loop,
+               [&] { return EventLoop::Now() - sent_at > Milliseconds(500); });
+      call.reset();
+    } else {
+      RunUntil(&fixture.loop, [&] { return result.has_value(); });
+      CHECK(result->head->status == 504);
+    }
+    for (auto& [id, engine] : fixture.engines) engine->Restart();
+    auto& router = *fixture.router;
+    RunUntil(&fixture.loop,
+             [&] { return router.crash_correlator().counters().crashes >= 4; });
+    CHECK(router.counters().crash_observations == row.observations);
+  }
+}
+
 TEST_CASE("a request misdirected by a stale registration is not executed",
           "[fleet]") {
   RouterFixture fixture(80);
