Count each crash of an upstream that restarts under its id

Cause: an observation was identified by the upstream's id, so the crash of its next process was 'known already'; and only a crash as the only suspect could block, which no request reaches where suspects are many. Change: observations carry the start time of the process that crashed. Three crashes block a request however they came about. A request that crashes upstreams never runs to its end, so a completed execution voids the crashes before it; that keeps harmless requests that shared three crashes from being refused. Ruled out: blocking after two crashes of one upstream, which would refuse what happens to be sent twice to an upstream that goes down and up.

--- a/Source/Core/Fleet/fleet_messages.cc
+++ b/Source/Core/Fleet/fleet_messages.cc
@@ -8,7 +8,7 @@
 // The first byte identifies the message type; a changed layout gets a new tag.
 constexpr char kDeploymentUpdateTag = 'n';
 constexpr char kStatusTag = 'u';
-constexpr char kCrashReportTag = 'c';
+constexpr char kCrashReportTag = 'o';
 
 struct EndpointWire {
   std::string ip;
@@ -60,12 +60,20 @@
                        start_time_ms, active_routers, reload_in_ms);
 };
 
-struct CrashReportWire {
+struct CrashReportEntryWire {
   uint64_t fingerprint = 0;
   uint64_t upstream_id_hash = 0;
+  uint64_t incarnation = 0;
   bool as_suspect = false;
+  bool completed = false;
   uint32_t valid_for_ms = 0;
-  MSGPACK_DEFINE_ARRAY(fingerprint, upstream_id_hash, as_suspect, valid_for_ms);
+  MSGPACK_DEFINE_ARRAY(fingerprint, upstream_id_hash, incarnation, as_suspect,
+                       completed, valid_for_ms);
+};
+
+struct CrashReportWire {
+  std::vector<CrashReportEntryWire> entries;
+  MSGPACK_DEFINE_ARRAY(entries);
 };
 
 EndpointWire ToWire(const Endpoint& it) { return {it.ip, it.port}; }
@@ -132,17 +140,28 @@
 }
 
 CrashReportWire ToWire(const CrashReport& it) {
-  return {it.request_fingerprint, it.upstream_hash, it.as_suspect,
-          it.valid_for_ms};
+  CrashReportWire out;
+  for (const CrashReportEntry& entry : it.entries) {
+    out.entries.push_back({entry.request_fingerprint, entry.upstream_hash,
+                           entry.incarnation, entry.as_suspect, entry.completed,
+                           entry.valid_for_ms});
+  }
+  return out;
 }
 
 CrashReport FromWire(const CrashReportWire& it) {
-  return {it.fingerprint, it.upstream_id_hash, it.as_suspect, it.valid_for_ms};
+  CrashReport out;
+  for (const CrashReportEntryWire& entry : it.entries) {
+    out.entries.push_back({entry.fingerprint, entry.upstream_id_hash,
+                           entry.incarnation, entry.as_suspect, entry.completed,
+                           entry.valid_for_ms});
+  }
+  return out;
 }
 
 constexpr uint32_t kDeploymentUpdateFields = 11;
 constexpr uint32_t kStatusFields = 12;
-constexpr uint32_t kCrashReportFields = 4;
+constexpr uint32_t kCrashReportFields = 1;
 
 template <typename Wire>
 FleetMessage Unpack(std::string_view bytes, uint32_t field_count) {
--- a/Source/Core/Fleet/fleet_messages.h
+++ b/Source/Core/Fleet/fleet_messages.h
@@ -58,13 +58,23 @@
   static constexpr uint32_t kNoReloadPlanned = UINT32_MAX;
 };
 
-/// Sent by a router to some agents, which forward it to the routers that they
-/// know: a request was running at an upstream that crashed.
-struct CrashReport {
+/// A request was running at an upstream that crashed, or ran to its end.
+struct CrashReportEntry {
   uint64_t request_fingerprint = 0;  ///< Hash of the request's content.
   uint64_t upstream_hash = 0;        ///< Hash of the upstream's id.
+  uint64_t incarnation = 0;          ///< Start time of the upstream.
   bool as_suspect = false;
+  bool completed = false;
   uint32_t valid_for_ms = 0;  ///< Remaining lifetime of the observation.
+  bool operator==(const CrashReportEntry&) const = default;
+};
+
+/// Crash observations, sent by a router to some agents, which forward them to
+/// the routers that they know.
+struct CrashReport {
+  /// Entries that fit into a datagram that is not fragmented.
+  static constexpr size_t kMaxEntries = 32;
+  std::vector<CrashReportEntry> entries;
 };
 
 using FleetMessage =
--- a/Source/Core/Membership/suspect_table.cc
+++ b/Source/Core/Membership/suspect_table.cc
@@ -1,21 +1,33 @@
 #include "Core/Membership/suspect_table.h"
 
 #include <algorithm>
+#include <set>
 #include <string>
 
 #include "Core/Common/digest.h"
 
 namespace primrosecove {
 
+bool SuspectTable::IsKnownOrVoid(const CrashObservation& observation) const {
+  auto [begin, end] = by_request_.equal_range(observation.request);
+  return std::any_of(begin, end, [&](const auto& it) {
+    const CrashObservation& known = it.second;
+    if (known.completed) return known.expires_ms >= observation.expires_ms;
+    return !observation.completed && known.upstream == observation.upstream &&
+           known.incarnation == observation.incarnation &&
+           known.as_suspect == observation.as_suspect;
+  });
+}
+
 bool SuspectTable::Add(const CrashObservation& observation, int64_t now_ms) {
   RemoveExpired(now_ms);
-  if (observation.expires_ms <= now_ms) return false;
-  auto [begin, end] = by_request_.equal_range(observation.request);
-  for (auto it = begin; it != end; ++it) {
-    const CrashObservation& known = it->second;
-    if (known.upstream == observation.upstream &&
-        known.as_suspect == observation.as_suspect) {
-      return false;
+  if (observation.expires_ms <= now_ms || IsKnownOrVoid(observation))
+    return false;
+  if (observation.completed) {
+    auto [begin, end] = by_request_.equal_range(observation.request);
+    for (auto it = begin; it != end;) {
+      bool is_void = it->second.expires_ms <= observation.expires_ms;
+      it = is_void ? by_request_.erase(it) : std::next(it);
     }
   }
   if (by_request_.size() >= kMaxObservations) {
@@ -35,25 +47,27 @@
 // sharing two batches.
 SuspectVerdict SuspectTable::Classify(uint64_t request, int64_t now_ms) const {
   auto [begin, end] = by_request_.equal_range(request);
-  bool seen = false;
+  std::set<uint64_t> upstreams;
+  std::set<std::pair<uint64_t, uint64_t>> crashes;
+  bool was_alone = false;
   for (auto it = begin; it != end; ++it) {
-    if (it->second.expires_ms <= now_ms) continue;
-    seen = true;
-    if (!it->second.as_suspect) continue;
-    bool elsewhere = std::any_of(begin, end, [&](const auto& other) {
-      return other.second.upstream != it->second.upstream &&
-             other.second.expires_ms > now_ms;
-    });
-    if (elsewhere) return SuspectVerdict::kBlocked;
+    const CrashObservation& observation = it->second;
+    if (observation.completed || observation.expires_ms <= now_ms) continue;
+    upstreams.insert(observation.upstream);
+    crashes.emplace(observation.upstream, observation.incarnation);
+    was_alone = was_alone || observation.as_suspect;
   }
-  return seen ? SuspectVerdict::kSuspect : SuspectVerdict::kClear;
+  if (crashes.size() >= kCrashesToBlock) return SuspectVerdict::kBlocked;
+  if (was_alone && upstreams.size() > 1) return SuspectVerdict::kBlocked;
+  return crashes.empty() ? SuspectVerdict::kClear : SuspectVerdict::kSuspect;
 }
 
 int64_t SuspectTable::BlockedUntil(uint64_t request) const {
   auto [begin, end] = by_request_.equal_range(request);
   int64_t out = 0;
-  for (auto it = begin; it != end; ++it)
-    out = std::max(out, it->second.expires_ms);
+  for (auto it = begin; it != end; ++it) {
+    if (!it->second.completed) out = std::max(out, it->second.expires_ms);
+  }
   return out;
 }
 
--- a/Source/Core/Membership/suspect_table.h
+++ b/Source/Core/Membership/suspect_table.h
@@ -10,7 +10,7 @@
 namespace primrosecove {
 
 /// Observation that a request was running at an upstream when that upstream
-/// crashed.
+/// crashed or, if `completed`, that it ran to its end.
 struct CrashObservation {
   uint64_t request = 0;   ///< Fingerprint of the request's content.
   uint64_t upstream = 0;  ///< Hash of the upstream's name.
@@ -18,6 +18,9 @@
       false;  ///< The request ran as the only suspect at the upstream.
   int64_t expires_ms =
       0;  ///< Unix time in ms at which the observation expires.
+  /// Distinguishes the crashes of an upstream that restarts under its name.
+  uint64_t incarnation = 0;
+  bool completed = false;
 
   bool operator==(const CrashObservation&) const = default;
 };
@@ -28,20 +31,25 @@
   kSuspect,  ///< The request was running at a crash; it may run at an upstream
              ///< that runs no other suspect.
   kBlocked,  ///< The request was running when two upstreams crashed, at the
-             ///< second one as the only suspect.
+             ///< second one as the only suspect, or at kCrashesToBlock crashes.
 };
 
 /// Crash observations of all processes, as far as they have been received.
 /// Adding is commutative and idempotent. Not thread safe.
 class SuspectTable {
  public:
+  /// Crashes after which a request is blocked even if other suspects were
+  /// running at each of them.
+  static constexpr size_t kCrashesToBlock = 3;
   /// Time in ms for which an observation is valid.
   static constexpr int64_t kLifetimeMs = 600'000;
   /// Maximum number of observations; beyond it the one that expires first is
   /// dropped.
   static constexpr size_t kMaxObservations = 4096;
 
-  /// Adds an observation; returns whether it was new. Times are Unix ms.
+  /// Adds an observation; returns whether it changed the table. A completed
+  /// execution voids the observations of crashes that expire no later than it.
+  /// Times are Unix ms.
   bool Add(const CrashObservation& observation, int64_t now_ms);
   SuspectVerdict Classify(uint64_t request, int64_t now_ms) const;
   /// Unix time in ms at which a blocked request may be retried.
@@ -52,9 +60,12 @@
   std::vector<CrashObservation> List(int64_t now_ms) const;
 
  private:
+  using ByRequest = std::multimap<uint64_t, CrashObservation>;
+
   void RemoveExpired(int64_t now_ms);
+  bool IsKnownOrVoid(const CrashObservation& observation) const;
 
-  std::multimap<uint64_t, CrashObservation> by_request_;
+  ByRequest by_request_;
 };
 
 /// Fingerprint of a request's content; a resent request has the same one.
--- a/Source/Core/Router/crash_correlator.cc
+++ b/Source/Core/Router/crash_correlator.cc
@@ -19,9 +19,13 @@
   ++counters_.lost_connections;
   auto crash = last_crashes_.find(attempt.upstream_id);
   LostConnection lost_connection{attempt, now};
-  // A crash that was detected before the attempt ended another process.
-  if (crash != last_crashes_.end() && crash->second >= attempt.sent_at)
-    return RecordObservation(lost_connection, now);
+  // A crash that was detected before the attempt ended another process. One
+  // that already counts for the request is an earlier one of an upstream that
+  // restarts under its id.
+  if (crash != last_crashes_.end() && crash->second.at >= attempt.sent_at &&
+      RecordObservation(lost_connection, crash->second.incarnation, now)) {
+    return;
+  }
   if (lost_connections_.size() >= kMaxLostConnections) {
     DropLostConnection(lost_connections_.front(), now);
     lost_connections_.pop_front();
@@ -32,20 +36,22 @@
 void CrashCorrelator::OnUpstreamCrash(const UpstreamCrash& crash,
                                       MonotonicTime now) {
   ++counters_.crashes;
-  last_crashes_[crash.id] = now;
+  auto incarnation = static_cast<uint64_t>(crash.start_time_ms);
+  last_crashes_[crash.id] = {incarnation, now};
   std::erase_if(lost_connections_, [&](const LostConnection& it) {
-    if (it.attempt.upstream_id != crash.id) return false;
-    RecordObservation(it, now);
-    return true;
+    return it.attempt.upstream_id == crash.id &&
+           RecordObservation(it, incarnation, now);
   });
 }
 
-void CrashCorrelator::RecordObservation(const LostConnection& lost_connection,
+bool CrashCorrelator::RecordObservation(const LostConnection& lost_connection,
+                                        uint64_t incarnation,
                                         MonotonicTime now) {
   const LostAttempt& attempt = lost_connection.attempt;
   CrashObservation observation;
   observation.request = attempt.request;
   observation.upstream = std::hash<std::string>{}(attempt.upstream_id);
+  observation.incarnation = incarnation;
   observation.as_suspect = attempt.as_suspect;
   observation.expires_ms = now.count() + SuspectTable::kLifetimeMs;
   has_observations_ = true;
@@ -62,6 +68,18 @@
               << " delay_ms=" << (now - lost_connection.at).count()
               << " verdict="
               << static_cast<int>(ClassifyRequest(attempt.request, now)));
+  return is_new;
+}
+
+void CrashCorrelator::OnCompleted(uint64_t request, MonotonicTime now) {
+  if (ClassifyRequest(request, now) == SuspectVerdict::kClear) return;
+  CrashObservation completion;
+  completion.request = request;
+  completion.completed = true;
+  completion.expires_ms = now.count() + SuspectTable::kLifetimeMs;
+  if (!table_.Add(completion, now.count())) return;
+  new_observations_.push_back(completion);
+  PC_INFO(kRouter, "event=suspect_cleared request=" << request);
 }
 
 void CrashCorrelator::DropLostConnection(const LostConnection& lost_connection,
@@ -76,7 +94,7 @@
 void CrashCorrelator::RemoveExpired(
     MonotonicTime now, std::optional<MonotonicTime> store_reachable_since) {
   std::erase_if(last_crashes_, [now](const auto& it) {
-    return now - it.second > kCrashLifetime;
+    return now - it.second.at > kCrashLifetime;
   });
   if (!store_reachable_since) return;
   while (!lost_connections_.empty()) {
--- a/Source/Core/Router/crash_correlator.h
+++ b/Source/Core/Router/crash_correlator.h
@@ -58,6 +58,8 @@
                      std::optional<MonotonicTime> store_reachable_since);
   /// Returns the observations made since the last call, for other routers.
   std::vector<CrashObservation> PopNewObservations();
+  /// Records that a suspect ran to its end, so that it crashed no upstream.
+  void OnCompleted(uint64_t request, MonotonicTime now);
   /// Adds an observation that another router made.
   void AddRemoteObservation(const CrashObservation& observation,
                             MonotonicTime now);
@@ -90,8 +92,14 @@
     MonotonicTime at{0};
   };
 
-  void RecordObservation(const LostConnection& lost_connection,
-                         MonotonicTime now);
+  struct DetectedCrash {
+    uint64_t incarnation = 0;
+    MonotonicTime at{0};
+  };
+
+  // Returns whether the observation is new.
+  bool RecordObservation(const LostConnection& lost_connection,
+                         uint64_t incarnation, MonotonicTime now);
   void DropLostConnection(const LostConnection& lost_connection,
                           MonotonicTime now);
 
@@ -101,9 +109,8 @@
   bool has_observations_ = false;
   /// Those without a known crash, in the order of their time.
   std::deque<LostConnection> lost_connections_;
-  /// Time of the last crash detected, by upstream.
-  std::map<std::string, MonotonicTime> last_crashes_;
-  std::map<std::string, int> active_suspects_;  ///< Count by upstream.
+  std::map<std::string, DetectedCrash> last_crashes_;  ///< By upstream.
+  std::map<std::string, int> active_suspects_;         ///< Count by upstream.
   std::vector<CrashObservation> new_observations_;
 };
 
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -412,8 +412,7 @@
   if (streaming_) {
     if (framer_.partial_bytes() > 0)
       return OnAttemptFailure("truncated event at end of stream");
-    ReleaseUpstream(true);
-    state_->RecordServiceTime(service_->name, state_->Now() - sent_at_);
+    RecordCompletion();
     exchange_->EndStream();
     return Finish("answered", result.head->status, "");
   }
@@ -433,8 +432,7 @@
   }
   bool ok = result.head->status < kStatusServerError;
   // A response in time shows that the upstream is alive, whatever its status.
-  ReleaseUpstream(true);
-  state_->RecordServiceTime(service_->name, state_->Now() - sent_at_);
+  RecordCompletion();
   if (!ok && !exchange_->started()) {
     execution_state_ = ExecutionState::kMayHaveExecuted;
     auto placement = route_->IsRetryable() ? TryPlaceRetry() : std::nullopt;
@@ -451,6 +449,13 @@
   Finish("answered", result.head->status, "");
 }
 
+void FleetRequest::RecordCompletion() {
+  MonotonicTime now = state_->Now();
+  ReleaseUpstream(true);
+  state_->RecordServiceTime(service_->name, now - sent_at_);
+  if (is_suspect_) state_->crash_correlator.OnCompleted(Fingerprint(), now);
+}
+
 void FleetRequest::OnAttemptFailure(const char* why) {
   PC_INFO(kRouter, "event=attempt_failed id=" << fields_.request_id
                                               << " upstream=" << upstream_id_
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -41,6 +41,7 @@
   // suspected of it.
   bool CheckSuspect();
   uint64_t Fingerprint();
+  void RecordCompletion();
   void RecordConnectionLoss();
   void RecordLossIfSilent();
   void ReleaseSuspect();
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -8,6 +8,7 @@
 #include "Core/Common/digest.h"
 #include "Core/Common/log.h"
 #include "Core/Fleet/fleet_ports.h"
+#include "Core/Membership/crash_exchange.h"
 #include "Core/Router/fleet_request.h"
 #include "platform/headers.h"
 #include "platform/settings.h"
@@ -335,10 +336,8 @@
   }
   MonotonicTime now = state_.Now();
   if (const auto* report = std::get_if<CrashReport>(&message.value())) {
-    state_.crash_correlator.AddRemoteObservation(
-        {report->request_fingerprint, report->upstream_hash, report->as_suspect,
-         (now + Milliseconds(report->valid_for_ms)).count()},
-        now);
+    for (const CrashObservation& it : ReadCrashReport(*report, now.count()))
+      state_.crash_correlator.AddRemoteObservation(it, now);
     return;
   }
   const auto* status = std::get_if<UpstreamStatus>(&message.value());
@@ -415,11 +414,12 @@
     state_.crash_correlator.OnUpstreamCrash(it, now);
   }
   state_.crash_correlator.RemoveExpired(now, store_reachable_since_);
-  for (const CrashObservation& it :
-       state_.crash_correlator.PopNewObservations()) {
-    ++state_.counters.crash_observations;
-    CrashReport report{it.request, it.upstream, it.as_suspect,
-                       static_cast<uint32_t>(it.expires_ms - now.count())};
+  auto observations = state_.crash_correlator.PopNewObservations();
+  for (const CrashObservation& it : observations) {
+    if (!it.completed) ++state_.counters.crash_observations;
+  }
+  for (const CrashReport& report :
+       MakeCrashReports(observations, now.count())) {
     std::string datagram = EncodeMessage(report);
     int sent_count = 0;
     for (const auto& [id, upstream] : state_.registry.all()) {
--- a/Source/UnitTests/Router/crash_correlator_test.cc
+++ b/Source/UnitTests/Router/crash_correlator_test.cc
@@ -132,6 +132,76 @@
         Milliseconds(SuspectTable::kLifetimeMs));
 }
 
+// Guards against a request that crashes one upstream again and again: an
+// upstream may restart under its id, and its later crashes counted as the
+// first.
+TEST_CASE("each crash of an upstream that restarts under its id counts") {
+  struct Row {
+    const char* name;
+    bool detected_while_in_flight;
+  };
+  const Row rows[] = {
+      {"detected after the connection loss", false},
+      {"detected before the connection loss", true},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    CrashCorrelator correlator;
+    MonotonicTime now = kStart;
+    for (int64_t start = 1; start <= 3; ++start) {
+      CHECK(correlator.ClassifyRequest(kCrashingRequest, now) !=
+            SuspectVerdict::kBlocked);
+      LostAttempt attempt{kCrashingRequest, "u1", start > 1, now};
+      now += Milliseconds(100);
+      if (row.detected_while_in_flight)
+        correlator.OnUpstreamCrash({"u1", start}, now);
+      correlator.OnConnectionLost(attempt, now);
+      if (!row.detected_while_in_flight)
+        correlator.OnUpstreamCrash({"u1", start}, now);
+      now += Milliseconds(3000);
+    }
+    CHECK(correlator.ClassifyRequest(kCrashingRequest, now) ==
+          SuspectVerdict::kBlocked);
+    CHECK(correlator.PopNewObservations().size() == 3);
+  }
+}
+
+TEST_CASE("a crash that is detected late is not taken for the one before it") {
+  CrashCorrelator correlator;
+  correlator.OnConnectionLost({kCrashingRequest, "u1", false, kStart}, kStart);
+  correlator.OnUpstreamCrash({"u1", 1}, kStart);
+  // Sent to the second process before the crash of the first is detected again
+  // by other evidence.
+  correlator.OnUpstreamCrash({"u1", 1}, kStart + Milliseconds(500));
+  correlator.OnConnectionLost(
+      {kCrashingRequest, "u1", false, kStart + Milliseconds(400)},
+      kStart + Milliseconds(600));
+  correlator.OnUpstreamCrash({"u1", 2}, kStart + Milliseconds(700));
+  CHECK(correlator.PopNewObservations().size() == 2);
+}
+
+TEST_CASE("a suspect that runs to its end is cleared, also at other routers") {
+  CrashCorrelator first;
+  CrashCorrelator second;
+  for (const char* id : {"u1", "u2"}) {
+    first.OnConnectionLost({kCrashingRequest, id, true, kStart}, kStart);
+    first.OnUpstreamCrash({id, 1}, kStart);
+  }
+  for (const CrashObservation& it : first.PopNewObservations())
+    second.AddRemoteObservation(it, kStart);
+  CHECK(second.ClassifyRequest(kCrashingRequest, kStart) ==
+        SuspectVerdict::kBlocked);
+  MonotonicTime end = kStart + Milliseconds(100);
+  first.OnCompleted(kCrashingRequest, end);
+  first.OnCompleted(kCrashingRequest + 1, end);
+  auto observations = first.PopNewObservations();
+  REQUIRE(observations.size() == 1);
+  second.AddRemoteObservation(observations[0], end);
+  CHECK(first.ClassifyRequest(kCrashingRequest, end) == SuspectVerdict::kClear);
+  CHECK(second.ClassifyRequest(kCrashingRequest, end) ==
+        SuspectVerdict::kClear);
+}
+
 TEST_CASE("active suspects are counted by upstream") {
   CrashCorrelator correlator;
   correlator.AddActiveSuspect("u1");
