--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -162,6 +162,13 @@
   return false;
 }
 
+// The observations that block a request may arrive while it runs.
+bool FleetRequest::IsBlocked() {
+  return state_->crash_correlator.HasObservations() &&
+         state_->crash_correlator.ClassifyRequest(
+             Fingerprint(), state_->Now()) == SuspectVerdict::kBlocked;
+}
+
 Milliseconds FleetRequest::TimeLeft() const {
   return deadline_ - state_->Now();
 }
@@ -390,7 +397,7 @@
       --attempts_;
       ++failed_connections_;
       ReleaseUpstream(false);
-      if (failed_connections_ < kMaxFailedConnections &&
+      if (failed_connections_ < kMaxFailedConnections && !IsBlocked() &&
           TimeLeft() > Milliseconds(0)) {
         return Dispatch();
       }
@@ -494,7 +501,7 @@
   if (execution_state_ == ExecutionState::kMayHaveExecuted &&
       !route_->IsRetryable())
     return std::nullopt;
-  if (TimeLeft() <= Milliseconds(0)) return std::nullopt;
+  if (TimeLeft() <= Milliseconds(0) || IsBlocked()) return std::nullopt;
   // The budget is charged only if an upstream is available.
   Placement placement = ChoosePlacement(state_->Now());
   if (placement.upstream == nullptr) return std::nullopt;
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -40,6 +40,7 @@
   // Refuses a request that has crashed upstreams and marks one that is
   // suspected of it.
   bool CheckSuspect();
+  bool IsBlocked();
   uint64_t Fingerprint();
   void RecordCompletion();
   void RecordConnectionLoss();
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -8,6 +8,7 @@
 #include "Core/Control/metrics.h"
 #include "Core/Fleet/deployment_watcher.h"
 #include "Core/Fleet/fleet_messages.h"
+#include "Core/Fleet/fleet_ports.h"
 #include "Core/Net/http1_server.h"
 #include "Core/Net/udp_socket.h"
 #include "Core/Router/fleet_state.h"
@@ -37,6 +38,10 @@
   void BeginStop();
   const FleetCounters& counters() const { return state_.counters; }
   const UpstreamRegistry& registry() const { return state_.registry; }
+  /// Address for datagrams from agents.
+  Endpoint peer_endpoint() const {
+    return PeerEndpoint(state_.settings, state_.settings.ip);
+  }
   const CrashCorrelator& crash_correlator() const {
     return state_.crash_correlator;
   }
--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -556,6 +556,28 @@
   }
 }
 
+// Guards against a crashing request that goes on to another upstream although
+// it became known, while it was running, that it must be refused.
+TEST_CASE("a request that is blocked while it runs is not retried", "[fleet]") {
+  RouterFixture fixture(85);
+  for (auto& [id, engine] : fixture.engines) engine->SetEvents(kLongStream);
+  std::optional<CallResult> result;
+  auto call = fixture.StartRequest("/stream/x", kApiKey, {}, &result);
+  RunUntil(&fixture.loop, [&] { return fixture.ExecutionCount() == 1; });
+  CrashReport report;
+  uint64_t fingerprint = RequestFingerprint("w1", "/stream/x", "body");
+  for (uint64_t upstream : {101, 102, 103})
+    report.entries.push_back({fingerprint, upstream, 1, false, false, 60'000});
+  UdpSocket peer(&fixture.loop, [](std::string_view, const Endpoint&) {});
+  REQUIRE(peer.Bind(fixture.EndpointAt(20)));
+  peer.Send(EncodeMessage(report), fixture.router->peer_endpoint());
+  const CrashCorrelator& correlator = fixture.router->crash_correlator();
+  RunUntil(&fixture.loop, [&] { return correlator.table().size() == 3; });
+  for (auto& [id, engine] : fixture.engines) engine->AbortExecutions();
+  RunUntil(&fixture.loop, [&] { return result.has_value(); });
+  CHECK(fixture.ExecutionCount() == 1);
+}
+
 TEST_CASE("a request misdirected by a stale registration is not executed",
           "[fleet]") {
   RouterFixture fixture(80);
