Compare crash observations with agents, so that restarted routers learn them

It also went to agents whose status is long out of date. Change: up to four agents keep the observations; routers send them a digest once a second, and both send what the other lacks. Weighed and left out: a key in the store, which would survive the loss of all routers and agents at once, but cannot be written or read while the store is away, and needs a writer and leases that the product does without today.

--- a/Source/Core/Agent/fleet_agent.cc
+++ b/Source/Core/Agent/fleet_agent.cc
@@ -69,6 +69,10 @@
         std::string("primrosecove_agent_") + entry.name, entry.help, {},
         [value = entry.value] { return static_cast<double>(value()); });
   }
+  metrics_.AddGauge("primrosecove_agent_crash_observations",
+                    "Crash observations kept for routers", {}, [this] {
+                      return static_cast<double>(crash_relay_.table().size());
+                    });
   metrics_.AddGauge("primrosecove_agent_weights_version",
                     "Version that the engine serves whole", {}, [this] {
                       return static_cast<double>(status_.served_version);
@@ -127,12 +131,23 @@
             "event=datagram_dropped why=\"" << message.error().message << "\"");
     return;
   }
-  if (std::holds_alternative<CrashReport>(message.value())) {
-    for (auto& [router, heard] : routers_) {
-      if (router != from) peer_socket_->Send(bytes, router);
+  int64_t now_ms = std::chrono::duration_cast<Milliseconds>(
+                       EventLoop::Now().time_since_epoch())
+                       .count();
+  if (const auto* report = std::get_if<CrashReport>(&message.value())) {
+    for (const CrashReport& it : crash_relay_.OnReport(*report, now_ms)) {
+      std::string datagram = EncodeMessage(it);
+      for (auto& [router, heard] : routers_) {
+        if (router != from) peer_socket_->Send(datagram, router);
+      }
     }
     return;
   }
+  if (const auto* digest = std::get_if<CrashDigest>(&message.value())) {
+    for (const FleetMessage& it : crash_relay_.OnDigest(*digest, now_ms))
+      peer_socket_->Send(EncodeMessage(it), from);
+    return;
+  }
   const auto* update = std::get_if<DeploymentUpdate>(&message.value());
   if (update == nullptr) return;
   if (routers_.insert_or_assign(from, EventLoop::Now()).second) {
--- a/Source/Core/Agent/fleet_agent.h
+++ b/Source/Core/Agent/fleet_agent.h
@@ -8,6 +8,7 @@
 
 #include "Core/Agent/weight_stager.h"
 #include "Core/Control/metrics.h"
+#include "Core/Membership/crash_exchange.h"
 #include "Core/Net/http1_server.h"
 #include "Core/Net/udp_socket.h"
 #include "platform/engine_and_origin_client.h"
@@ -42,6 +43,7 @@
   std::unique_ptr<UdpSocket> peer_socket_;
   /// Time of the last datagram from each.
   std::map<Endpoint, SteadyTime> routers_;
+  CrashRelay crash_relay_;
   UpstreamStatus status_;
   std::string last_sent_status_;  ///< Last sent status, encoded without its
                                   ///< sequence number.
--- a/Source/Core/Fleet/fleet_messages.cc
+++ b/Source/Core/Fleet/fleet_messages.cc
@@ -9,6 +9,7 @@
 constexpr char kDeploymentUpdateTag = 'n';
 constexpr char kStatusTag = 'u';
 constexpr char kCrashReportTag = 'o';
+constexpr char kCrashDigestTag = 'd';
 
 struct EndpointWire {
   std::string ip;
@@ -76,6 +77,12 @@
   MSGPACK_DEFINE_ARRAY(entries);
 };
 
+struct CrashDigestWire {
+  uint64_t digest = 0;
+  bool is_reply = false;
+  MSGPACK_DEFINE_ARRAY(digest, is_reply);
+};
+
 EndpointWire ToWire(const Endpoint& it) { return {it.ip, it.port}; }
 Endpoint FromWire(const EndpointWire& it) { return {it.ip, it.port}; }
 
@@ -159,9 +166,18 @@
   return out;
 }
 
+CrashDigestWire ToWire(const CrashDigest& it) {
+  return {it.digest, it.is_reply};
+}
+
+CrashDigest FromWire(const CrashDigestWire& it) {
+  return {it.digest, it.is_reply};
+}
+
 constexpr uint32_t kDeploymentUpdateFields = 11;
 constexpr uint32_t kStatusFields = 12;
 constexpr uint32_t kCrashReportFields = 1;
+constexpr uint32_t kCrashDigestFields = 2;
 
 template <typename Wire>
 FleetMessage Unpack(std::string_view bytes, uint32_t field_count) {
@@ -178,7 +194,7 @@
 
 std::string EncodeMessage(const FleetMessage& message) {
   static constexpr char kTags[] = {kDeploymentUpdateTag, kStatusTag,
-                                   kCrashReportTag};
+                                   kCrashReportTag, kCrashDigestTag};
   msgpack::sbuffer buf;
   std::visit([&buf](const auto& it) { msgpack::pack(buf, ToWire(it)); },
              message);
@@ -199,6 +215,9 @@
     if (datagram.starts_with(kCrashReportTag)) {
       return Unpack<CrashReportWire>(datagram.substr(1), kCrashReportFields);
     }
+    if (datagram.starts_with(kCrashDigestTag)) {
+      return Unpack<CrashDigestWire>(datagram.substr(1), kCrashDigestFields);
+    }
   } catch (const std::exception& e) {
     return Fail(ErrorCode::kInvalidArgument,
                 std::string("malformed datagram: ") + e.what());
--- a/Source/Core/Fleet/fleet_messages.h
+++ b/Source/Core/Fleet/fleet_messages.h
@@ -77,8 +77,16 @@
   std::vector<CrashReportEntry> entries;
 };
 
+/// Sent by a router to some agents, so that they send it the crash observations
+/// that it lacks. An agent answers with its reports and its own digest, after
+/// which the router sends what the agent lacks.
+struct CrashDigest {
+  uint64_t digest = 0;  ///< Of all observations that the sender has.
+  bool is_reply = false;
+};
+
 using FleetMessage =
-    std::variant<DeploymentUpdate, UpstreamStatus, CrashReport>;
+    std::variant<DeploymentUpdate, UpstreamStatus, CrashReport, CrashDigest>;
 
 /// Thread safe.
 std::string EncodeMessage(const FleetMessage& message);
--- a/Source/Core/Membership/crash_exchange.cc
+++ b/Source/Core/Membership/crash_exchange.cc
@@ -1,8 +1,15 @@
 #include "Core/Membership/crash_exchange.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace primrosecove {
+namespace {
+
+// Observations sent in answer to a digest; if there are more, the newest ones.
+constexpr size_t kMaxAnsweredObservations = 512;
+
+}  // namespace
 
 std::vector<CrashReport> MakeCrashReports(
     const std::vector<CrashObservation>& observations, int64_t now_ms) {
@@ -34,4 +41,31 @@
   return out;
 }
 
+std::vector<FleetMessage> AnswerCrashDigest(const SuspectTable& table,
+                                            const CrashDigest& digest,
+                                            int64_t now_ms) {
+  uint64_t own_digest = table.Digest(now_ms);
+  if (own_digest == digest.digest) return {};
+  auto observations = table.List(now_ms);
+  std::stable_sort(
+      observations.begin(), observations.end(),
+      [](const auto& a, const auto& b) { return a.expires_ms > b.expires_ms; });
+  if (observations.size() > kMaxAnsweredObservations)
+    observations.resize(kMaxAnsweredObservations);
+  std::vector<FleetMessage> out;
+  for (CrashReport& report : MakeCrashReports(observations, now_ms))
+    out.emplace_back(std::move(report));
+  if (!digest.is_reply) out.emplace_back(CrashDigest{own_digest, true});
+  return out;
+}
+
+std::vector<CrashReport> CrashRelay::OnReport(const CrashReport& report,
+                                              int64_t now_ms) {
+  std::vector<CrashObservation> added;
+  for (const CrashObservation& it : ReadCrashReport(report, now_ms)) {
+    if (table_.Add(it, now_ms)) added.push_back(it);
+  }
+  return MakeCrashReports(added, now_ms);
+}
+
 }  // namespace primrosecove
--- a/Source/Core/Membership/suspect_table.cc
+++ b/Source/Core/Membership/suspect_table.cc
@@ -79,6 +79,18 @@
   return out;
 }
 
+uint64_t SuspectTable::Digest(int64_t now_ms) const {
+  uint64_t out = 0;
+  for (const auto& [request, it] : by_request_) {
+    if (it.expires_ms <= now_ms) continue;
+    std::string flags{it.as_suspect ? 's' : '-', it.completed ? 'c' : '-'};
+    for (uint64_t n : {request, it.upstream, it.incarnation})
+      flags.append(reinterpret_cast<const char*>(&n), sizeof(n));
+    out ^= RendezvousScore("crash observation", flags);
+  }
+  return out;
+}
+
 void SuspectTable::RemoveExpired(int64_t now_ms) {
   std::erase_if(by_request_,
                 [&](const auto& it) { return it.second.expires_ms <= now_ms; });
--- a/Source/Core/Membership/suspect_table.h
+++ b/Source/Core/Membership/suspect_table.h
@@ -54,6 +54,8 @@
   SuspectVerdict Classify(uint64_t request, int64_t now_ms) const;
   /// Unix time in ms at which a blocked request may be retried.
   int64_t BlockedUntil(uint64_t request) const;
+  /// Digest of the valid observations, independent of their order and expiry.
+  uint64_t Digest(int64_t now_ms) const;
   /// Number of observations, including expired ones not removed yet.
   size_t size() const { return by_request_.size(); }
   /// All observations that have not expired.
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -24,9 +24,12 @@
 constexpr Milliseconds kRequestCheckPeriod{100};
 constexpr Milliseconds kLogFlushPeriod{100};
 constexpr Milliseconds kStopCheckPeriod{50};
-// Number of agents that each crash report is sent to for forwarding; more than
-// one of them may be down or unreachable.
-constexpr int kCrashReportFanout = 4;
+// Number of agents that keep and forward crash reports; more than one of them
+// may be down or unreachable.
+constexpr size_t kCrashRelays = 4;
+// Interval at which crash observations are compared with the agents'. A process
+// that restarted or lost reports lacks them for this long.
+constexpr Milliseconds kCrashDigestPeriod{1000};
 // The load balancer probes once a second and removes a host after two failures.
 // Until then new connections still arrive and must be served.
 constexpr Milliseconds kStopServeTime{2600};
@@ -208,8 +211,8 @@
                           metrics_.Render());
       });
   peer_socket_ = std::make_unique<UdpSocket>(
-      loop_, [this](std::string_view bytes, const Endpoint&) {
-        HandleDatagram(bytes);
+      loop_, [this](std::string_view bytes, const Endpoint& from) {
+        HandleDatagram(bytes, from);
       });
   BOOST_OUTCOME_TRY(caller_server_->Listen(settings.caller_endpoint));
   BOOST_OUTCOME_TRY(readiness_server_->Listen(settings.readiness_endpoint));
@@ -228,6 +231,8 @@
   watcher_->Start();
   update_timer_ =
       loop_->Every(kUpdatePeriod, [this] { SendDeploymentUpdates(); });
+  crash_digest_timer_ =
+      loop_->Every(kCrashDigestPeriod, [this] { SendCrashDigest(); });
   request_check_timer_ =
       loop_->Every(kRequestCheckPeriod, [this] { CheckRequests(); });
   log_flush_timer_ = loop_->Every(kLogFlushPeriod, [] { FlushLogs(); });
@@ -327,7 +332,7 @@
   }
 }
 
-void FleetRouter::HandleDatagram(std::string_view bytes) {
+void FleetRouter::HandleDatagram(std::string_view bytes, const Endpoint& from) {
   auto message = DecodeMessage(bytes);
   if (!message) {
     PC_WARN(kNet,
@@ -340,6 +345,13 @@
       state_.crash_correlator.AddRemoteObservation(it, now);
     return;
   }
+  if (const auto* digest = std::get_if<CrashDigest>(&message.value())) {
+    for (const FleetMessage& it : AnswerCrashDigest(
+             state_.crash_correlator.table(), *digest, now.count())) {
+      peer_socket_->Send(EncodeMessage(it), from);
+    }
+    return;
+  }
   const auto* status = std::get_if<UpstreamStatus>(&message.value());
   if (status == nullptr) return;
   state_.registry.RecordStatus(*status, state_.Now());
@@ -421,15 +433,30 @@
   for (const CrashReport& report :
        MakeCrashReports(observations, now.count())) {
     std::string datagram = EncodeMessage(report);
-    int sent_count = 0;
-    for (const auto& [id, upstream] : state_.registry.all()) {
-      bool has_agent = upstream.status.has_value();
-      if (!has_agent || sent_count >= kCrashReportFanout) continue;
-      ++sent_count;
-      peer_socket_->Send(
-          datagram, PeerEndpoint(state_.settings, upstream.record.endpoint.ip));
-    }
+    for (const Endpoint& it : CrashRelays(now))
+      peer_socket_->Send(datagram, it);
+  }
+}
+
+// The first agents in the order of their upstreams' ids, so that all routers
+// use the same ones.
+std::vector<Endpoint> FleetRouter::CrashRelays(MonotonicTime now) const {
+  std::vector<Endpoint> out;
+  for (const auto& [id, upstream] : state_.registry.all()) {
+    bool has_agent = upstream.status && now - upstream.status_received_at <
+                                            UpstreamRegistry::kStatusLifetime;
+    if (!has_agent) continue;
+    out.push_back(PeerEndpoint(state_.settings, upstream.record.endpoint.ip));
+    if (out.size() == kCrashRelays) break;
   }
+  return out;
+}
+
+void FleetRouter::SendCrashDigest() {
+  MonotonicTime now = state_.Now();
+  std::string datagram = EncodeMessage(
+      CrashDigest{state_.crash_correlator.table().Digest(now.count()), false});
+  for (const Endpoint& it : CrashRelays(now)) peer_socket_->Send(datagram, it);
 }
 
 void FleetRouter::ReloadSettings() {
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -56,11 +56,13 @@
   void ApplyConfig(const FleetConfig& config);
   void OnSynced(BootTime requested_at, uint64_t revision);
   void OnStoreReachable(bool reachable);
-  void HandleDatagram(std::string_view bytes);
+  void HandleDatagram(std::string_view bytes, const Endpoint& from);
   void SendDeploymentUpdates();
   std::vector<DeploymentUpdate> MakeDeploymentUpdates();
   void CheckRequests();
   void ReportCrashes(MonotonicTime now);
+  std::vector<Endpoint> CrashRelays(MonotonicTime now) const;
+  void SendCrashDigest();
   void ReloadSettings();
   void CheckStop();
 
@@ -83,6 +85,7 @@
   MonotonicTime last_busy_at_{
       0};  ///< Last time with unfinished responses while stopping.
   Timer update_timer_;
+  Timer crash_digest_timer_;
   Timer request_check_timer_;
   Timer stop_check_timer_;
   Timer log_flush_timer_;
--- a/Source/UnitTests/Agent/fleet_agent_test.cc
+++ b/Source/UnitTests/Agent/fleet_agent_test.cc
@@ -30,7 +30,11 @@
         &loop, [this](std::string_view bytes, const Endpoint& from) {
           auto message = DecodeMessage(bytes);
           if (!message) return;
-          statuses[from.ip] = std::get<UpstreamStatus>(message.value());
+          if (const auto* it = std::get_if<UpstreamStatus>(&message.value())) {
+            statuses[from.ip] = *it;
+          } else {
+            crash_messages.push_back(message.value());
+          }
         });
     if (!store.Listen(EndpointOf(1)) || !origin.Listen(EndpointOf(2)))
       FAIL("listen");
@@ -84,6 +88,11 @@
     }
   }
 
+  void Send(const FleetMessage& message) {
+    router->Send(EncodeMessage(message),
+                 {update.members.front().upstream.ip, kPeerPort});
+  }
+
   void SetTarget(uint64_t version) {
     update.target_weights_version = version;
     SendUpdate();
@@ -129,6 +138,7 @@
   std::vector<std::unique_ptr<EngineStandIn>> engines;
   std::vector<std::unique_ptr<FleetAgent>> agents;
   std::map<std::string, UpstreamStatus> statuses;
+  std::vector<FleetMessage> crash_messages;
 };
 
 TEST_CASE("a new version reaches all engines with one copy sent by the origin",
@@ -208,6 +218,28 @@
   fleet.RunUntilServing(2);
 }
 
+// Guards against routers that lack crash observations made before their start.
+TEST_CASE("an agent keeps crash observations and sends them on request",
+          "[burst]") {
+  FleetFixture fleet(92, 1, 1);
+  CrashReportEntry entry{7, 10, 1, true, false, 60'000};
+  fleet.Send(CrashReport{{entry}});
+  // A datagram may be lost, so the digest is sent until it is answered.
+  RunUntil(&fleet.loop, [&] {
+    fleet.Send(CrashDigest{});
+    return fleet.crash_messages.size() >= 2;
+  });
+  const auto* report = std::get_if<CrashReport>(&fleet.crash_messages[0]);
+  REQUIRE(report != nullptr);
+  REQUIRE(report->entries.size() == 1);
+  CHECK(report->entries[0].request_fingerprint == entry.request_fingerprint);
+  CHECK(report->entries[0].valid_for_ms <= entry.valid_for_ms);
+  const auto* digest = std::get_if<CrashDigest>(&fleet.crash_messages[1]);
+  REQUIRE(digest != nullptr);
+  CHECK(digest->is_reply);
+  CHECK(digest->digest != 0);
+}
+
 TEST_CASE("malformed datagrams are dropped", "[burst]") {
   FleetFixture fleet(91, 1, 1);
   for (const char* bytes : {"", "n", "s\xff", "x123", "n\x91\x01"}) {
--- /dev/null
+++ b/Source/UnitTests/Router/crash_containment_test.cc
@@ -0,0 +1,276 @@
+// Tests that routers together contain a request that crashes upstreams, in a
+// simulation without network or clock: a caller sends the request again and
+// again through any router, while routers and agents restart or are cut off,
+// datagrams are lost, and upstreams restart under their ids.
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "Core/Membership/crash_exchange.h"
+#include "Core/Router/crash_correlator.h"
+
+namespace primrosecove {
+namespace {
+
+constexpr uint64_t kCrashingRequest = 7;
+// A process counts as undisturbed this long after its start or its cut.
+constexpr Milliseconds kContactTime{3000};
+// Sends that may follow the third crash after that time.
+constexpr int kAllowedSends = 3;
+constexpr Milliseconds kHeartbeat{1200};
+constexpr size_t kRouters = 5;
+constexpr size_t kRelays = 4;
+
+struct Scenario {
+  const char* name;
+  Milliseconds arrival_period;   // Of the crashing request.
+  bool has_agents;               // Upstreams whose agents detect crashes.
+  bool restarts_under_id;        // Upstreams that crashed.
+  Milliseconds router_restarts;  // Mean time between; 0: none.
+  Milliseconds relay_restarts;   // Mean time between; 0: none.
+  Milliseconds cuts;             // Mean time between; 0: none.
+  int datagram_loss_percent;
+};
+
+class Simulation {
+ public:
+  Simulation(const Scenario& scenario, uint64_t seed)
+      : scenario_(scenario), random_(seed) {
+    for (size_t i = 0; i < kRouters; ++i) StartRouter(i);
+    relays_.resize(kRelays);
+    for (size_t i = 0; i < kUpstreams; ++i)
+      upstreams_.push_back({"u" + std::to_string(i), 1, MonotonicTime(0)});
+    Every(Milliseconds(100), [this] { Tick(); });
+    Every(Milliseconds(1000), [this] { SendDigests(); });
+    Every(scenario.arrival_period, [this] { SendCrashingRequest(); });
+    Repeat(scenario.router_restarts, [this] {
+      size_t n = Random(kRouters);
+      StartRouter(n);
+      routers_[n].disturbed_until = now_;
+    });
+    Repeat(scenario.relay_restarts,
+           [this] { relays_[Random(kRelays)] = CrashRelay(); });
+    Repeat(scenario.cuts, [this] {
+      Router& router = routers_[Random(kRouters)];
+      router.cut_until = now_ + Milliseconds(4000);
+      router.disturbed_until = router.cut_until;
+    });
+  }
+
+  void Run(Milliseconds duration) {
+    while (!events_.empty() && events_.begin()->first <= duration) {
+      auto node = events_.extract(events_.begin());
+      now_ = node.key();
+      node.mapped()();
+    }
+  }
+
+  int crashes() const { return crashes_; }
+  int late_sends() const { return late_sends_; }
+  int refused() const { return refused_; }
+
+ private:
+  static constexpr size_t kUpstreams = 6;
+
+  struct Upstream {
+    std::string id;
+    int64_t start_time_ms;
+    MonotonicTime down_until;
+  };
+  struct Router {
+    std::unique_ptr<CrashCorrelator> correlator;
+    int starts = 0;
+    MonotonicTime cut_until{0};        // From the store and the relays.
+    MonotonicTime disturbed_until{0};  // The last start or cut.
+  };
+
+  void At(MonotonicTime at, std::function<void()> action) {
+    events_.emplace(at, std::move(action));
+  }
+  void Every(Milliseconds period, const std::function<void()>& action) {
+    At(now_ + period, [this, period, action] {
+      action();
+      Every(period, action);
+    });
+  }
+  // At random intervals with this mean.
+  void Repeat(Milliseconds mean, const std::function<void()>& action) {
+    if (mean == Milliseconds(0)) return;
+    At(now_ + RandomTime(mean / 2, mean * 3 / 2), [this, mean, action] {
+      action();
+      Repeat(mean, action);
+    });
+  }
+  size_t Random(size_t n) { return random_() % n; }
+  Milliseconds RandomTime(Milliseconds low, Milliseconds high) {
+    return low + Milliseconds(Random((high - low).count()));
+  }
+
+  void StartRouter(size_t n) {
+    routers_[n].correlator = std::make_unique<CrashCorrelator>(
+        UpstreamRegistry::MaxDetectionTime(kHeartbeat));
+    ++routers_[n].starts;
+  }
+  bool IsCut(size_t n) const { return now_ < routers_[n].cut_until; }
+
+  // Runs `action` at router `n` unless it restarts meanwhile.
+  void AtRouter(size_t n, MonotonicTime at, std::function<void()> action) {
+    At(at, [this, n, starts = routers_[n].starts, action = std::move(action)] {
+      if (routers_[n].starts == starts) action();
+    });
+  }
+  // Carries a datagram between router `n` and a relay.
+  void Carry(size_t n, std::function<void()> action) {
+    bool lost = static_cast<int>(Random(100)) < scenario_.datagram_loss_percent;
+    if (lost || IsCut(n)) return;
+    AtRouter(n, now_ + Milliseconds(1 + Random(5)),
+             [this, n, action = std::move(action)] {
+               if (!IsCut(n)) action();
+             });
+  }
+
+  void SendToRouter(size_t n, size_t relay, const FleetMessage& message) {
+    Carry(n, [this, n, relay, message] {
+      CrashCorrelator& correlator = *routers_[n].correlator;
+      if (const auto* report = std::get_if<CrashReport>(&message)) {
+        for (const auto& it : ReadCrashReport(*report, now_.count()))
+          correlator.AddRemoteObservation(it, now_);
+      } else if (const auto* digest = std::get_if<CrashDigest>(&message)) {
+        for (const auto& it :
+             AnswerCrashDigest(correlator.table(), *digest, now_.count())) {
+          SendToRelay(n, relay, it);
+        }
+      }
+    });
+  }
+  void SendToRelay(size_t n, size_t relay, const FleetMessage& message) {
+    Carry(n, [this, n, relay, message] {
+      if (const auto* report = std::get_if<CrashReport>(&message)) {
+        for (auto& it : relays_[relay].OnReport(*report, now_.count())) {
+          for (size_t other = 0; other < kRouters; ++other)
+            if (other != n) SendToRouter(other, relay, it);
+        }
+      } else if (const auto* digest = std::get_if<CrashDigest>(&message)) {
+        for (auto& it : relays_[relay].OnDigest(*digest, now_.count()))
+          SendToRouter(n, relay, it);
+      }
+    });
+  }
+
+  void Tick() {
+    for (size_t n = 0; n < kRouters; ++n) {
+      std::optional<MonotonicTime> reachable_since;
+      if (!IsCut(n)) reachable_since = routers_[n].cut_until;
+      routers_[n].correlator->RemoveExpired(now_, reachable_since);
+      for (auto& it : MakeCrashReports(
+               routers_[n].correlator->PopNewObservations(), now_.count())) {
+        for (size_t relay = 0; relay < kRelays; ++relay)
+          SendToRelay(n, relay, it);
+      }
+    }
+  }
+  void SendDigests() {
+    for (size_t n = 0; n < kRouters; ++n) {
+      CrashDigest digest{routers_[n].correlator->table().Digest(now_.count()),
+                         false};
+      for (size_t relay = 0; relay < kRelays; ++relay)
+        SendToRelay(n, relay, digest);
+    }
+  }
+
+  void SendCrashingRequest() {
+    size_t n = Random(kRouters);
+    CrashCorrelator& correlator = *routers_[n].correlator;
+    if (correlator.ClassifyRequest(kCrashingRequest, now_) ==
+        SuspectVerdict::kBlocked) {
+      ++refused_;
+      return;
+    }
+    Upstream& upstream = upstreams_[Random(kUpstreams)];
+    if (now_ < upstream.down_until) return;
+    bool undisturbed = now_ - routers_[n].disturbed_until > kContactTime;
+    if (crashes_ >= 3 && undisturbed && now_ - third_crash_ > kContactTime)
+      ++late_sends_;
+    CrashUpstream(n, &upstream);
+  }
+
+  void CrashUpstream(size_t sender, Upstream* upstream) {
+    if (++crashes_ == 3) third_crash_ = now_;
+    UpstreamCrash crash{upstream->id, upstream->start_time_ms,
+                        CrashEvidence::kRegistrationEnded};
+    LostAttempt attempt{kCrashingRequest, upstream->id,
+                        routers_[sender].correlator->ClassifyRequest(
+                            kCrashingRequest, now_) != SuspectVerdict::kClear,
+                        now_};
+    // Some connections go silent instead of being reset.
+    Milliseconds silence(Random(4) == 0 ? 2000 : 1);
+    AtRouter(sender, now_ + silence, [this, sender, attempt] {
+      routers_[sender].correlator->OnConnectionLost(attempt, now_);
+    });
+    upstream->down_until =
+        now_ + RandomTime(Milliseconds(1500), Milliseconds(4000));
+    if (scenario_.restarts_under_id) {
+      ++upstream->start_time_ms;
+    } else {
+      upstream->id += "'";
+    }
+    for (size_t n = 0; n < kRouters; ++n) {
+      MonotonicTime at =
+          now_ + (scenario_.has_agents
+                      ? RandomTime(Milliseconds(200), Milliseconds(700))
+                      : RandomTime(2 * kHeartbeat, 4 * kHeartbeat));
+      DetectCrash(n, at, crash);
+    }
+  }
+  // A router that is cut off detects the crash after its return.
+  void DetectCrash(size_t n, MonotonicTime at, const UpstreamCrash& crash) {
+    AtRouter(n, at, [this, n, crash] {
+      if (IsCut(n)) {
+        return DetectCrash(n, routers_[n].cut_until + Milliseconds(500), crash);
+      }
+      routers_[n].correlator->OnUpstreamCrash(crash, now_);
+    });
+  }
+
+  Scenario scenario_;
+  std::mt19937_64 random_;
+  MonotonicTime now_{0};
+  std::multimap<MonotonicTime, std::function<void()>> events_;
+  std::array<Router, kRouters> routers_;
+  std::vector<CrashRelay> relays_;
+  std::vector<Upstream> upstreams_;
+  int crashes_ = 0;
+  MonotonicTime third_crash_{0};
+  int late_sends_ = 0;
+  int refused_ = 0;
+};
+
+// Guards against a request that is sent to upstreams more than three times
+// after it has crashed the third, by routers that are undisturbed.
+TEST_CASE("a request that crashes upstreams is contained by all routers") {
+  using namespace std::chrono_literals;
+  auto scenario = GENERATE(values<Scenario>({
+      {"calm", 400ms, true, false, 0ms, 0ms, 0ms, 1},
+      {"restarts under the same id", 400ms, true, true, 0ms, 0ms, 0ms, 1},
+      {"routers restart", 400ms, true, true, 1000ms, 0ms, 0ms, 1},
+      {"routers are cut off", 400ms, true, true, 0ms, 0ms, 2000ms, 1},
+      {"routers and relays restart", 400ms, true, true, 1500ms, 1500ms, 0ms, 1},
+      {"datagrams are lost", 400ms, true, true, 1500ms, 0ms, 0ms, 20},
+      {"all together", 400ms, true, true, 2000ms, 3000ms, 4000ms, 10},
+  }));
+  CAPTURE(scenario.name);
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    CAPTURE(seed);
+    Simulation simulation(scenario, seed);
+    simulation.Run(Milliseconds(60'000));
+    CHECK(simulation.crashes() >= 2);
+    CHECK(simulation.refused() > 0);
+    CHECK(simulation.late_sends() <= kAllowedSends);
+  }
+}
+
+}  // namespace
+}  // namespace primrosecove
--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -534,7 +534,7 @@
   };
   for (const Row& row : rows) {
     INFO(row.name);
-    RouterFixture fixture(84);
+    RouterFixture fixture(92);
     fixture.SetFault(EngineFault::kNoResponse, 1);
     std::optional<CallResult> result;
     auto call = fixture.StartRequest("/once/x", kApiKey, {}, &result);
@@ -559,7 +559,7 @@
 // Guards against a crashing request that goes on to another upstream although
 // it became known, while it was running, that it must be refused.
 TEST_CASE("a request that is blocked while it runs is not retried", "[fleet]") {
-  RouterFixture fixture(85);
+  RouterFixture fixture(93);
   for (auto& [id, engine] : fixture.engines) engine->SetEvents(kLongStream);
   std::optional<CallResult> result;
   auto call = fixture.StartRequest("/stream/x", kApiKey, {}, &result);
@@ -578,6 +578,44 @@
   CHECK(fixture.ExecutionCount() == 1);
 }
 
+// Guards against a router that sends a request on because it started, or was
+// cut off, after the request's crashes.
+TEST_CASE("a router learns earlier crash observations from agents", "[fleet]") {
+  RouterFixture fixture(94);
+  CrashReport report;
+  uint64_t fingerprint = RequestFingerprint("w1", "/stream/x", "body");
+  for (uint64_t upstream : {101, 102, 103})
+    report.entries.push_back({fingerprint, upstream, 1, false, false, 60'000});
+  // The agent beside engine-0.
+  Endpoint agent = fixture.router->peer_endpoint();
+  agent.ip = fixture.EndpointAt(2).ip;
+  size_t learned_back = 0;
+  std::unique_ptr<UdpSocket> peer;
+  peer = std::make_unique<UdpSocket>(
+      &fixture.loop, [&](std::string_view bytes, const Endpoint& from) {
+        auto message = DecodeMessage(bytes);
+        if (!message) return;
+        if (const auto* it = std::get_if<CrashReport>(&message.value())) {
+          learned_back = it->entries.size();
+        } else if (std::holds_alternative<CrashDigest>(message.value())) {
+          peer->Send(EncodeMessage(report), from);
+          peer->Send(EncodeMessage(CrashDigest{1, true}), from);
+        }
+      });
+  REQUIRE(peer->Bind(agent));
+  UpstreamStatus status;
+  status.upstream = fixture.EndpointAt(2);
+  status.reachable = true;
+  status.served_version = 1;
+  RunUntil(&fixture.loop, [&] {
+    ++status.sequence;
+    peer->Send(EncodeMessage(status), fixture.router->peer_endpoint());
+    return learned_back == 3;
+  });
+  CHECK(fixture.SendAndWait("/stream/x").head->status == 503);
+  CHECK(fixture.ExecutionCount() == 0);
+}
+
 TEST_CASE("a request misdirected by a stale registration is not executed",
           "[fleet]") {
   RouterFixture fixture(80);
