Detect the crash of an upstream that refuses connections

Change: an upstream that is registered, not leaving, and at whose address nothing listens, has crashed. The connection attempts of other requests show it; there are no probes. A connection that times out shows nothing. Correction to: the simulation counted a router that restarted while it was cut off as undisturbed.

--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -56,6 +56,7 @@
     if (restarted) {
       RecordCrash(upstream, CrashEvidence::kRestarted);
       upstream.status.reset();
+      upstream.refuses_connections = false;
     }
     upstream.record = *change.record;
     upstream.registration_expires_at.reset();
@@ -147,7 +148,10 @@
 }
 
 void UpstreamRegistry::OnProgress(const std::string& id, MonotonicTime now) {
-  if (FleetUpstream* upstream = Find(id)) upstream->last_progress = now;
+  FleetUpstream* upstream = Find(id);
+  if (upstream == nullptr) return;
+  upstream->last_progress = now;
+  upstream->refuses_connections = false;
 }
 
 void UpstreamRegistry::OnEnded(const std::string& id, bool ok,
@@ -167,6 +171,14 @@
                            << " failures=" << upstream->consecutive_failures);
 }
 
+void UpstreamRegistry::OnConnectionRefused(const std::string& id) {
+  FleetUpstream* upstream = Find(id);
+  // A leaving upstream refuses connections before it ends.
+  if (upstream == nullptr || upstream->record.leaving) return;
+  if (std::exchange(upstream->refuses_connections, true)) return;
+  RecordCrash(*upstream, CrashEvidence::kRefusesConnections);
+}
+
 void UpstreamRegistry::OnRefused(const std::string& id, MonotonicTime now) {
   FleetUpstream* upstream = Find(id);
   if (upstream == nullptr) return;
@@ -181,7 +193,8 @@
 void UpstreamRegistry::RecordCrash(const FleetUpstream& upstream,
                                    CrashEvidence evidence) {
   static constexpr const char* kNames[] = {"registration ended", "restarted",
-                                           "unreachable to its agent"};
+                                           "unreachable to its agent",
+                                           "refuses connections"};
   // The agent's status shows a restart sooner than the registration.
   int64_t start_time_ms = upstream.record.start_time_ms;
   if (upstream.status)
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -40,6 +40,7 @@
   int consecutive_failures = 0;
   MonotonicTime ejected_until{-1'000'000};
   MonotonicTime last_success{-1'000'000};
+  bool refuses_connections = false;  ///< Since it last sent data.
   /// The time at which the upstream last sent data to this router, or got a
   /// request while this router had no other request in flight there.
   MonotonicTime last_progress{-1'000'000};
@@ -54,6 +55,7 @@
   kRegistrationEnded,  ///< It disappeared from the store without leaving first.
   kRestarted,          ///< Its registration or status has a new start time.
   kUnreachable,        ///< Its agent can't reach it.
+  kRefusesConnections,  ///< No process listens at its address.
 };
 
 /// One detected crash of an upstream.
@@ -96,6 +98,8 @@
   void OnProgress(const std::string& id, MonotonicTime now);
   /// Records the end of a request; `ok` is whether its response was valid.
   void OnEnded(const std::string& id, bool ok, MonotonicTime now);
+  /// Records that no process listens at the upstream's address.
+  void OnConnectionRefused(const std::string& id);
   /// Records that the upstream refused a request without running it.
   void OnRefused(const std::string& id, MonotonicTime now);
   /// Returns the crashes that were detected since the last call.
--- a/Source/Core/Net/http1_client.cc
+++ b/Source/Core/Net/http1_client.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
 #include "Core/Common/text.h"
@@ -193,7 +194,10 @@
     Close();
     return;
   }
-  if (!connected_) return Finish(CallEnd::kNotSent);
+  if (!connected_) {
+    result_.refused = EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+    return Finish(CallEnd::kNotSent);
+  }
   bool clean_close =
       (what & BEV_EVENT_EOF) != 0 && (what & BEV_EVENT_ERROR) == 0;
   if (clean_close && result_.head && result_.head->close_delimited) {
--- a/Source/Core/Net/http1_client.h
+++ b/Source/Core/Net/http1_client.h
@@ -37,6 +37,8 @@
   /// The body was close-delimited: it had neither a length nor a chunked
   /// encoding and ended with the connection.
   bool ended_by_close = false;
+  /// With kNotSent: nothing listens at the address.
+  bool refused = false;
 };
 
 struct CallOptions {
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -396,6 +396,7 @@
     case CallEnd::kNotSent:
       --attempts_;
       ++failed_connections_;
+      if (result.refused) state_->registry.OnConnectionRefused(upstream_id_);
       ReleaseUpstream(false);
       if (failed_connections_ < kMaxFailedConnections && !IsBlocked() &&
           TimeLeft() > Milliseconds(0)) {
--- a/Source/UnitTests/Fleet/upstream_registry_test.cc
+++ b/Source/UnitTests/Fleet/upstream_registry_test.cc
@@ -89,6 +89,33 @@
   }
 }
 
+// Guards against crashes of plain services that are known only when the
+// registration ends, seconds after the request could be sent again.
+TEST_CASE("an upstream that refuses connections has crashed") {
+  struct Row {
+    const char* name;
+    bool leaving;
+    bool sends_data_between;
+    size_t crashes;
+  };
+  const Row rows[] = {
+      {"refused twice", false, false, 1},
+      {"refused, running, refused", false, true, 2},
+      {"leaving", true, false, 0},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    UpstreamRegistry registry;
+    registry.Apply(Registered("a", row.leaving), MonotonicTime(0),
+                   MonotonicTime(0));
+    registry.OnConnectionRefused("a");
+    if (row.sends_data_between) registry.OnProgress("a", MonotonicTime(10));
+    registry.OnConnectionRefused("a");
+    registry.OnConnectionRefused("unknown");
+    CHECK(registry.PopCrashes().size() == row.crashes);
+  }
+}
+
 TEST_CASE("leaving, unreachable and loading upstreams get no requests") {
   struct Row {
     const char* name;
--- a/Source/UnitTests/Net/http1_test.cc
+++ b/Source/UnitTests/Net/http1_test.cc
@@ -216,8 +216,9 @@
 TEST_CASE("a call to a port without a listener ends with kNotSent", "[http1]") {
   EventLoop loop;
   Http1Client client(&loop);
-  CHECK(SendRequest(&loop, &client, TestEndpoint(97, 9), "1").end ==
-        CallEnd::kNotSent);
+  CallResult result = SendRequest(&loop, &client, TestEndpoint(97, 9), "1");
+  CHECK(result.end == CallEnd::kNotSent);
+  CHECK(result.refused);
 }
 
 // A process that exits as soon as in_flight() is zero would truncate the
--- a/Source/UnitTests/Router/crash_containment_test.cc
+++ b/Source/UnitTests/Router/crash_containment_test.cc
@@ -2,6 +2,8 @@
 // simulation without network or clock: a caller sends the request again and
 // again through any router, while routers and agents restart or are cut off,
 // datagrams are lost, and upstreams restart under their ids.
+#include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <map>
@@ -42,14 +44,16 @@
     for (size_t i = 0; i < kRouters; ++i) StartRouter(i);
     relays_.resize(kRelays);
     for (size_t i = 0; i < kUpstreams; ++i)
-      upstreams_.push_back({"u" + std::to_string(i), 1, MonotonicTime(0)});
+      upstreams_.push_back(
+          {"u" + std::to_string(i), 1, MonotonicTime(0), "", 0});
     Every(Milliseconds(100), [this] { Tick(); });
     Every(Milliseconds(1000), [this] { SendDigests(); });
+    Every(Milliseconds(100), [this] { SendOtherRequests(); });
     Every(scenario.arrival_period, [this] { SendCrashingRequest(); });
     Repeat(scenario.router_restarts, [this] {
       size_t n = Random(kRouters);
       StartRouter(n);
-      routers_[n].disturbed_until = now_;
+      routers_[n].disturbed_until = std::max(now_, routers_[n].cut_until);
     });
     Repeat(scenario.relay_restarts,
            [this] { relays_[Random(kRelays)] = CrashRelay(); });
@@ -79,6 +83,9 @@
     std::string id;
     int64_t start_time_ms;
     MonotonicTime down_until;
+    // Of the process that ran last.
+    std::string registered_id;
+    int64_t registered_start_time_ms = 0;
   };
   struct Router {
     std::unique_ptr<CrashCorrelator> correlator;
@@ -190,13 +197,28 @@
       return;
     }
     Upstream& upstream = upstreams_[Random(kUpstreams)];
-    if (now_ < upstream.down_until) return;
+    if (now_ < upstream.down_until) return RefuseConnection(n, upstream);
     bool undisturbed = now_ - routers_[n].disturbed_until > kContactTime;
     if (crashes_ >= 3 && undisturbed && now_ - third_crash_ > kContactTime)
       ++late_sends_;
     CrashUpstream(n, &upstream);
   }
 
+  // Each router sends two requests a second that crash nothing.
+  void SendOtherRequests() {
+    for (size_t n = 0; n < kRouters; ++n) {
+      const Upstream& upstream = upstreams_[Random(kUpstreams)];
+      bool sends = Random(5) == 0 && now_ < upstream.down_until;
+      if (sends) RefuseConnection(n, upstream);
+    }
+  }
+  void RefuseConnection(size_t n, const Upstream& upstream) {
+    routers_[n].correlator->OnUpstreamCrash(
+        {upstream.registered_id, upstream.registered_start_time_ms,
+         CrashEvidence::kRefusesConnections},
+        now_);
+  }
+
   void CrashUpstream(size_t sender, Upstream* upstream) {
     if (++crashes_ == 3) third_crash_ = now_;
     UpstreamCrash crash{upstream->id, upstream->start_time_ms,
@@ -212,6 +234,8 @@
     });
     upstream->down_until =
         now_ + RandomTime(Milliseconds(1500), Milliseconds(4000));
+    upstream->registered_id = upstream->id;
+    upstream->registered_start_time_ms = upstream->start_time_ms;
     if (scenario_.restarts_under_id) {
       ++upstream->start_time_ms;
     } else {
@@ -259,6 +283,8 @@
       {"routers are cut off", 400ms, true, true, 0ms, 0ms, 2000ms, 1},
       {"routers and relays restart", 400ms, true, true, 1500ms, 1500ms, 0ms, 1},
       {"datagrams are lost", 400ms, true, true, 1500ms, 0ms, 0ms, 20},
+      {"plain services, calm", 700ms, false, true, 0ms, 0ms, 0ms, 1},
+      {"plain services", 700ms, false, true, 2000ms, 3000ms, 4000ms, 10},
       {"all together", 400ms, true, true, 2000ms, 3000ms, 4000ms, 10},
   }));
   CAPTURE(scenario.name);
