Clear suspects that run to their end in the product's own routers too

The rule that three crashes block a request is shared with the product's routers and gates, where a lost connection counts without proof of a crash. Their callers' harmless request could have been refused for ten minutes after three losses. Change: a router reports the completed execution of a suspect; gossip carries it, and the start time of observations, in two more fields that earlier releases ignore. The new router test failed before (refused at the second request).

--- a/Source/Core/Membership/gossip_message.cc
+++ b/Source/Core/Membership/gossip_message.cc
@@ -48,6 +48,7 @@
     if (object.type != msgpack::type::ARRAY) throw msgpack::type_error();
     items_ = object.via.array;
   }
+  bool HasNext() const { return next_ < items_.size; }
   const msgpack::object& Next() {
     if (next_ >= items_.size) throw msgpack::type_error();
     return items_.ptr[next_++];
@@ -101,12 +102,14 @@
 }
 
 void PackObservation(Packer* out, const CrashObservation& it) {
-  constexpr uint32_t kFields = 4;
+  constexpr uint32_t kFields = 6;
   out->pack_array(kFields);
   out->pack(it.request);
   out->pack(it.upstream);
   out->pack(it.as_suspect);
   out->pack(it.expires_ms);
+  out->pack(it.incarnation);
+  out->pack(it.completed);
 }
 
 CrashObservation ReadObservation(const msgpack::object& object) {
@@ -116,6 +119,10 @@
   in.Read(&out.upstream);
   in.Read(&out.as_suspect);
   in.Read(&out.expires_ms);
+  // Processes of an earlier release send the first four fields only.
+  if (!in.HasNext()) return out;
+  in.Read(&out.incarnation);
+  in.Read(&out.completed);
   return out;
 }
 
--- a/Source/Core/Router/request_task.cc
+++ b/Source/Core/Router/request_task.cc
@@ -139,7 +139,7 @@
   if (head.headers.Find(kConnectionLostHeader)) {
     // Added locally, because a gossiped observation may arrive after the next
     // attempt.
-    context_.report_crash(
+    context_.report_observation(
         {fingerprint_, RendezvousScore("upstream", upstream_name_),
          sent_as_suspect_, WallClockMs() + SuspectTable::kLifetimeMs});
   }
@@ -180,6 +180,12 @@
   // A complete response of the upstream, possibly with an error status.
   constexpr int kFirstServerError = 500;
   EndAttempt(summary_.status < kFirstServerError);
+  if (sent_as_suspect_) {
+    context_.report_observation(
+        {.request = fingerprint_,
+         .expires_ms = WallClockMs() + SuspectTable::kLifetimeMs,
+         .completed = true});
+  }
   exchange_->EndStream();
   Finish(kOutcomeResponded, summary_.status);
 }
--- a/Source/Core/Router/request_task.h
+++ b/Source/Core/Router/request_task.h
@@ -40,7 +40,7 @@
   const SuspectTable* suspects = nullptr;
   /// Publishes to all processes that a request was running when its upstream
   /// closed the connection.
-  std::function<void(const CrashObservation&)> report_crash;
+  std::function<void(const CrashObservation&)> report_observation;
 };
 
 /// Sends a request to an upstream's agent and streams the response to the
--- a/Source/UnitTests/Membership/records_test.cc
+++ b/Source/UnitTests/Membership/records_test.cc
@@ -128,11 +128,13 @@
   record.transfer_percent = 50;
   message.records = {record};
   message.hashes = {1, 2, 3};
+  message.observations = {{4, 5, true, 6, 7, false}, {4, 0, false, 9, 0, true}};
   auto decoded = DecodeGossip(EncodeGossip(message));
   REQUIRE(decoded);
   CHECK(decoded->records == message.records);
   CHECK(decoded->head == message.head);
   CHECK(decoded->hashes == message.hashes);
+  CHECK(decoded->observations == message.observations);
   CHECK(decoded->sender == "a");
   CHECK(decoded->target == "b");
 }
--- a/Source/UnitTests/Router/router_test.cc
+++ b/Source/UnitTests/Router/router_test.cc
@@ -372,6 +372,33 @@
   fixture.Await([&] { return cancelled && fixture.summaries.size() == 1; });
 }
 
+// Guards against refusing a harmless request whose attempts were lost several
+// times: it runs to its end, which a request that crashes upstreams never does.
+TEST_CASE("a suspect that runs to its end is not blocked by later crashes",
+          "[router]") {
+  RequestTaskFixture fixture(10);
+  uint64_t fingerprint = RequestFingerprint("w", "/shop/lost", "x");
+  auto add_crash = [&](uint64_t upstream) {
+    fixture.suspects.Add({fingerprint, upstream, false,
+                          WallClockMs() + SuspectTable::kLifetimeMs},
+                         WallClockMs());
+  };
+  add_crash(101);
+  for (size_t n = 1; n <= 2; ++n) {
+    CAPTURE(n);
+    auto pending = fixture.Send("GET", "/shop/lost");
+    fixture.Await(
+        [&] { return pending->ended() || fixture.agent_requests.size() == n; });
+    REQUIRE_FALSE(pending->ended());
+    fixture.AwaitAgentRequest(n)->Respond(
+        200, OutcomeHeaders(kOutcomeResponded), "ok");
+    fixture.Await([&] { return pending->ended(); });
+    CHECK(pending->outcome() == kOutcomeResponded);
+    add_crash(102);
+    add_crash(103);
+  }
+}
+
 TEST_CASE("10000 malformed requests cause neither a crash nor memory growth",
           "[router][malformed]") {
   constexpr int kInputs = 10000;
