Spend less of the retry budget right after a router's start

Callers of an overloaded service would see repeats beyond the operator's budget. The test of the budget in any window, with a restart of all routers, failed before: '153 <= 152.6' (4 routers, seed 5). In the first window after its start a router uses 0.4 of its share, which covers one restart of all routers in a window; the extended test passes. Not covered: two restarts of all routers in one window, 129 retries for 124 (5 routers, seed 7), listed in KNOWN-RED.txt. A share of 0.2 would cover them, but leaves a router that has just started a single retry: two tests of the router failed with it (a stream was not resumed), so it was not kept.

--- a/Source/Core/Fleet/fleet_retry_budget.cc
+++ b/Source/Core/Fleet/fleet_retry_budget.cc
@@ -8,6 +8,10 @@
 // Share of the fleet's budget that is used. The rest covers requests that the
 // upstreams count in another window than this host.
 constexpr double kUsedShare = 0.7;
+// Share of the above in the first window after the start, when the retries of
+// the process before it still count. With it, a restart of all routers in one
+// window keeps the budget: kUsedShare x (1 + kShareAfterStart) < 1.
+constexpr double kShareAfterStart = 0.4;
 // Used until the number of routers is known; too high a number is safe, because
 // it makes this host's share of the slack smaller.
 constexpr int kInitialRouters = 8;
@@ -41,7 +45,9 @@
   }
   double share = bounds_.retry_ratio * static_cast<double>(requests) +
                  bounds_.retry_slack / routers_;
-  return kUsedShare * share - static_cast<double>(retries);
+  double used_share = kUsedShare;
+  if (now < bounds_.retry_window) used_share *= kShareAfterStart;
+  return used_share * share - static_cast<double>(retries);
 }
 
 bool FleetRetryBudget::TryRetry(Milliseconds now) {
--- a/Source/Core/Fleet/fleet_retry_budget.h
+++ b/Source/Core/Fleet/fleet_retry_budget.h
@@ -12,7 +12,8 @@
 /// Counts the requests and retries of a service in sliding windows and allows a
 /// retry only while this router's share of the fleet's retry budget is not
 /// spent. The budget: in any window, retries <= ratio x requests + slack, over
-/// all hosts. Not thread safe; the caller supplies the time.
+/// all hosts. Not thread safe; the caller supplies the time since the start of
+/// its process, which begins with a smaller share.
 class FleetRetryBudget {
  public:
   explicit FleetRetryBudget(const FleetBounds& bounds);
--- a/Source/UnitTests/Fleet/decisions_test.cc
+++ b/Source/UnitTests/Fleet/decisions_test.cc
@@ -87,66 +87,96 @@
   }
 }
 
+struct RetryBudgetRow {
+  int routers;
+  int requests_per_second;  // of each router
+  uint32_t seed;
+  // Restarts of each router within one window; once in the test.
+  int restarts = 0;
+};
+
 // Under load every router retries as often as its share allows, while the
 // request rate changes.
-TEST_CASE("retries of all routers stay within the retry budget in any window") {
-  struct Row {
-    int routers;
-    int requests_per_second;  // of each router
-    uint32_t seed;
-  };
-  const Row rows[] = {{1, 40, 1}, {4, 10, 2}, {4, 40, 3}, {16, 30, 4}};
-  for (const Row& row : rows) {
-    INFO(row.routers << " routers, seed " << row.seed);
-    FleetBounds bounds;
-    std::vector<FleetRetryBudget> routers(static_cast<size_t>(row.routers),
-                                          FleetRetryBudget(bounds));
-    for (FleetRetryBudget& it : routers) it.SetRouterCount(row.routers);
-    std::mt19937 random(row.seed);
-    constexpr int kTickMs = 100;
-    constexpr int kTicks = 600;
-    std::vector<int> requests;
-    std::vector<int> retries;
-    for (int tick = 0; tick < kTicks; ++tick) {
-      Milliseconds now(tick * kTickMs);
-      int sent = 0;
-      int retried = 0;
-      // In idle periods the budget shrinks while retries continue.
-      bool no_traffic = tick / 100 % 2 == 1;
+void CheckRetryBudget(const RetryBudgetRow& row) {
+  INFO(row.routers << " routers, seed " << row.seed << ", " << row.restarts
+                   << " restarts");
+  FleetBounds bounds;
+  std::vector<FleetRetryBudget> routers(static_cast<size_t>(row.routers),
+                                        FleetRetryBudget(bounds));
+  for (FleetRetryBudget& it : routers) it.SetRouterCount(row.routers);
+  std::mt19937 random(row.seed);
+  constexpr int kTickMs = 100;
+  constexpr int kTicks = 600;
+  std::vector<int> requests;
+  std::vector<int> retries;
+  Milliseconds started_at{0};
+  for (int tick = 0; tick < kTicks; ++tick) {
+    // One restart every 2 s; the processes' times begin at their start.
+    constexpr int kFirstRestart = 230;
+    constexpr int kTicksBetween = 20;
+    int since_first = tick - kFirstRestart;
+    if (since_first >= 0 && since_first % kTicksBetween == 0 &&
+        since_first / kTicksBetween < row.restarts) {
       for (FleetRetryBudget& it : routers) {
-        int n = no_traffic
-                    ? 0
-                    : static_cast<int>(
-                          random() %
-                          (2 * static_cast<uint32_t>(row.requests_per_second) *
-                               kTickMs / 1000 +
-                           1));
-        for (int i = 0; i < n; ++i) it.OnRequest(now);
-        sent += n;
-        while (it.TryRetry(now)) ++retried;
+        it = FleetRetryBudget(bounds);
+        it.SetRouterCount(row.routers);
       }
-      requests.push_back(sent);
-      retries.push_back(retried);
+      started_at = Milliseconds(tick * kTickMs);
     }
-    constexpr int kWindow = 100;
-    for (int from = 0; from + kWindow <= kTicks; ++from) {
-      int retried = 0;
-      for (int i = from; i < from + kWindow; ++i) retried += retries[i];
-      // Requests may count in this window, the one before, or half a window
-      // before.
-      int most = 0;
-      for (int back : {0, kWindow / 2, kWindow}) {
-        int sum = 0;
-        for (int i = from - back; i < from - back + kWindow; ++i) {
-          if (i >= 0) sum += requests[static_cast<size_t>(i)];
-        }
-        most = std::max(most, sum);
+    Milliseconds now = Milliseconds(tick * kTickMs) - started_at;
+    int sent = 0;
+    int retried = 0;
+    // In idle periods the budget shrinks while retries continue.
+    bool no_traffic = tick / 100 % 2 == 1;
+    for (FleetRetryBudget& it : routers) {
+      int n = no_traffic
+                  ? 0
+                  : static_cast<int>(
+                        random() %
+                        (2 * static_cast<uint32_t>(row.requests_per_second) *
+                             kTickMs / 1000 +
+                         1));
+      for (int i = 0; i < n; ++i) it.OnRequest(now);
+      sent += n;
+      while (it.TryRetry(now)) ++retried;
+    }
+    requests.push_back(sent);
+    retries.push_back(retried);
+  }
+  constexpr int kWindow = 100;
+  for (int from = 0; from + kWindow <= kTicks; ++from) {
+    int retried = 0;
+    for (int i = from; i < from + kWindow; ++i) retried += retries[i];
+    // Requests may count in this window, the one before, or half a window
+    // before.
+    int most = 0;
+    for (int back : {0, kWindow / 2, kWindow}) {
+      int sum = 0;
+      for (int i = from - back; i < from - back + kWindow; ++i) {
+        if (i >= 0) sum += requests[static_cast<size_t>(i)];
       }
-      REQUIRE(retried <= bounds.retry_ratio * most + bounds.retry_slack);
+      most = std::max(most, sum);
     }
+    REQUIRE(retried <= bounds.retry_ratio * most + bounds.retry_slack);
   }
 }
 
+// Guards against exceeding the budget when routers restart and forget what they
+// have spent.
+TEST_CASE("retries of all routers stay within the retry budget in any window") {
+  const RetryBudgetRow rows[] = {{1, 40, 1},   {4, 10, 2},    {4, 40, 3},
+                                 {16, 30, 4},  {4, 10, 5, 1}, {16, 30, 6, 1},
+                                 {5, 5, 7, 1}, {5, 1, 8, 1}};
+  for (const RetryBudgetRow& row : rows) CheckRetryBudget(row);
+}
+
+// Hidden: fails, see KNOWN-RED.txt.
+TEST_CASE("retries stay within the budget if routers restart twice in a window",
+          "[.red]") {
+  const RetryBudgetRow rows[] = {{5, 5, 7, 2}, {5, 1, 8, 2}};
+  for (const RetryBudgetRow& row : rows) CheckRetryBudget(row);
+}
+
 TEST_CASE("only complete events pass, however the stream is split") {
   const std::string text =
       "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweight: 3\nid:3\ndata: c\n\n";
