Share the retry budget by the largest router count of a window

Found while looking for the incident's cause elsewhere: the slack of the retry budget was divided by the number of routers in the last status, and an agent that has just started or was cut off knows one of them, so that each router took all of it. Callers of an overloaded service would see repeats beyond the operator's budget. The largest count of a window counts, the initial one included.

--- a/Source/Core/Fleet/fleet_retry_budget.cc
+++ b/Source/Core/Fleet/fleet_retry_budget.cc
@@ -21,6 +21,14 @@
 FleetRetryBudget::FleetRetryBudget(const FleetBounds& bounds)
     : bounds_(bounds), routers_(kInitialRouters) {}
 
+void FleetRetryBudget::SetRouterCount(int routers, Milliseconds now) {
+  // An agent that has just started, or was cut off, knows few routers.
+  bool is_recent = now - routers_reported_at_ <= bounds_.retry_window;
+  if (routers < routers_ && is_recent) return;
+  routers_ = std::max(routers, 1);
+  routers_reported_at_ = now;
+}
+
 FleetRetryBudget::Bucket& FleetRetryBudget::CurrentBucket(Milliseconds now) {
   int64_t width =
       std::max<int64_t>(bounds_.retry_window.count() / (kBuckets - 1), 1);
--- a/Source/Core/Fleet/fleet_retry_budget.h
+++ b/Source/Core/Fleet/fleet_retry_budget.h
@@ -18,8 +18,9 @@
  public:
   explicit FleetRetryBudget(const FleetBounds& bounds);
 
-  /// Sets the number of routers that share the slack; at least 1.
-  void SetRouterCount(int routers) { routers_ = routers < 1 ? 1 : routers; }
+  /// Reports the number of routers that share the slack, as one agent sees it.
+  /// The largest number of a window counts.
+  void SetRouterCount(int routers, Milliseconds now);
   /// Counts a request at its first attempt.
   void OnRequest(Milliseconds now);
   /// Counts one retry if the window has room for it.
@@ -41,6 +42,7 @@
 
   FleetBounds bounds_;
   int routers_;
+  Milliseconds routers_reported_at_{0};
   std::array<Bucket, kBuckets> buckets_;
 };
 
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -356,7 +356,7 @@
   if (status == nullptr) return;
   state_.registry.RecordStatus(*status, state_.Now());
   for (auto& [service, retry_budget] : state_.retry_budgets) {
-    retry_budget.SetRouterCount(static_cast<int>(status->active_routers));
+    retry_budget.SetRouterCount(static_cast<int>(status->active_routers), now);
   }
 }
 
--- a/Source/UnitTests/Fleet/decisions_test.cc
+++ b/Source/UnitTests/Fleet/decisions_test.cc
@@ -103,7 +103,6 @@
   FleetBounds bounds;
   std::vector<FleetRetryBudget> routers(static_cast<size_t>(row.routers),
                                         FleetRetryBudget(bounds));
-  for (FleetRetryBudget& it : routers) it.SetRouterCount(row.routers);
   std::mt19937 random(row.seed);
   constexpr int kTickMs = 100;
   constexpr int kTicks = 600;
@@ -117,10 +116,7 @@
     int since_first = tick - kFirstRestart;
     if (since_first >= 0 && since_first % kTicksBetween == 0 &&
         since_first / kTicksBetween < row.restarts) {
-      for (FleetRetryBudget& it : routers) {
-        it = FleetRetryBudget(bounds);
-        it.SetRouterCount(row.routers);
-      }
+      for (FleetRetryBudget& it : routers) it = FleetRetryBudget(bounds);
       started_at = Milliseconds(tick * kTickMs);
     }
     Milliseconds now = Milliseconds(tick * kTickMs) - started_at;
@@ -129,6 +125,7 @@
     // In idle periods the budget shrinks while retries continue.
     bool no_traffic = tick / 100 % 2 == 1;
     for (FleetRetryBudget& it : routers) {
+      it.SetRouterCount(row.routers, now);
       int n = no_traffic
                   ? 0
                   : static_cast<int>(
@@ -164,17 +161,43 @@
 // Guards against exceeding the budget when routers restart and forget what they
 // have spent.
 TEST_CASE("retries of all routers stay within the retry budget in any window") {
-  const RetryBudgetRow rows[] = {{1, 40, 1},   {4, 10, 2},    {4, 40, 3},
-                                 {16, 30, 4},  {4, 10, 5, 1}, {16, 30, 6, 1},
-                                 {5, 5, 7, 1}, {5, 1, 8, 1}};
+  const RetryBudgetRow rows[] = {{1, 40, 1},   {4, 10, 2},     {4, 40, 3},
+                                 {16, 30, 4},  {4, 10, 5, 1},  {16, 30, 6, 1},
+                                 {5, 5, 7, 1}, {5, 1, 8, 1},   {5, 5, 7, 2},
+                                 {5, 1, 8, 2}, {16, 30, 9, 2}, {16, 1, 10, 2}};
   for (const RetryBudgetRow& row : rows) CheckRetryBudget(row);
 }
 
-// Hidden: fails, see KNOWN-RED.txt.
-TEST_CASE("retries stay within the budget if routers restart twice in a window",
-          "[.red]") {
-  const RetryBudgetRow rows[] = {{5, 5, 7, 2}, {5, 1, 8, 2}};
-  for (const RetryBudgetRow& row : rows) CheckRetryBudget(row);
+// Guards against exceeding the budget when an agent that has just started, or
+// was cut off, has heard of few routers.
+TEST_CASE("a smaller router count enlarges the share only after a window") {
+  struct Row {
+    const char* name;
+    std::vector<std::pair<int64_t, int>> counts;  // Time in ms and routers.
+    int64_t at_ms;
+    int routers;  // That share the slack.
+  };
+  const Row rows[] = {
+      {"one report", {{20'000, 5}}, 20'100, 5},
+      {"a smaller one after it", {{20'000, 5}, {20'100, 1}}, 20'200, 5},
+      {"a larger one after it", {{20'000, 5}, {20'100, 6}}, 20'200, 6},
+      {"smaller ones for a window", {{20'000, 5}, {30'100, 4}}, 30'200, 4},
+      {"the larger one is repeated",
+       {{20'000, 5}, {29'000, 5}, {30'100, 4}},
+       30'200,
+       5},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    FleetBounds bounds;
+    FleetRetryBudget retry_budget(bounds);
+    for (auto [at_ms, routers] : row.counts)
+      retry_budget.SetRouterCount(routers, Milliseconds(at_ms));
+    FleetRetryBudget expected(bounds);
+    expected.SetRouterCount(row.routers, Milliseconds(20'000));
+    Milliseconds now(row.at_ms);
+    CHECK(retry_budget.RemainingRetries(now) == expected.RemainingRetries(now));
+  }
 }
 
 TEST_CASE("only complete events pass, however the stream is split") {
