Detect the crash of an upstream when another process has its address

Callers' request that crashes the upstreams of a plain service was sent on: such an upstream has no agent, so its crash is known only when its registration ends, 2.4 to 3.6 s after the crash plus the store's lag and the watch. Cause: the registry took a new registration at a known address as one more upstream, although two processes can't listen there, and kept the earlier one in use. Change: a registration of a later start at the address of another ends the earlier one, as a crash unless it was leaving. A router sends to a successor only after it has seen its registration, so it now knows of the crash by then. Ruled out: dropping a registration that started earlier than the present one at its address; the start time is the upstream's own clock, which may be stepped.

--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -46,10 +46,12 @@
                              MonotonicTime reachable_since, MonotonicTime now) {
   auto it = upstreams_.find(change.id);
   if (change.record) {
+    bool is_new = it == upstreams_.end();
+    if (is_new) RemoveReplaced(*change.record);
     FleetUpstream& upstream = upstreams_[change.id];
-    bool restarted = it != upstreams_.end() && upstream.record.start_time_ms !=
-                                                   change.record->start_time_ms;
-    bool changed = it == upstreams_.end() || restarted ||
+    bool restarted = !is_new && upstream.record.start_time_ms !=
+                                    change.record->start_time_ms;
+    bool changed = is_new || restarted ||
                    upstream.record.leaving != change.record->leaving ||
                    upstream.record.weights != change.record->weights ||
                    upstream.registration_expires_at.has_value();
@@ -88,6 +90,18 @@
   }
 }
 
+void UpstreamRegistry::RemoveReplaced(const UpstreamRecord& record) {
+  std::erase_if(upstreams_, [&](const auto& it) {
+    const UpstreamRecord& other = it.second.record;
+    bool is_replaced = other.endpoint == record.endpoint &&
+                       other.start_time_ms != 0 &&
+                       other.start_time_ms < record.start_time_ms;
+    if (is_replaced && !other.leaving)
+      RecordCrash(it.second, CrashEvidence::kReplaced);
+    return is_replaced;
+  });
+}
+
 void UpstreamRegistry::RecordStatus(const UpstreamStatus& status,
                                     MonotonicTime now) {
   for (auto& [id, upstream] : upstreams_) {
@@ -192,9 +206,9 @@
 
 void UpstreamRegistry::RecordCrash(const FleetUpstream& upstream,
                                    CrashEvidence evidence) {
-  static constexpr const char* kNames[] = {"registration ended", "restarted",
-                                           "unreachable to its agent",
-                                           "refuses connections"};
+  static constexpr const char* kNames[] = {
+      "registration ended", "restarted", "unreachable to its agent",
+      "refuses connections", "replaced at its address"};
   // The agent's status shows a restart sooner than the registration.
   int64_t start_time_ms = upstream.record.start_time_ms;
   if (upstream.status)
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -56,6 +56,7 @@
   kRestarted,          ///< Its registration or status has a new start time.
   kUnreachable,        ///< Its agent can't reach it.
   kRefusesConnections,  ///< No process listens at its address.
+  kReplaced,            ///< A later process has its address.
 };
 
 /// One detected crash of an upstream.
@@ -119,6 +120,9 @@
 
  private:
   void RecordCrash(const FleetUpstream& upstream, CrashEvidence evidence);
+  // Removes the upstreams whose process must have ended because that of
+  // `record` started later at the same address.
+  void RemoveReplaced(const UpstreamRecord& record);
 
   std::map<std::string, FleetUpstream> upstreams_;
   std::vector<UpstreamCrash> crashes_;
--- a/Source/UnitTests/Fleet/upstream_registry_test.cc
+++ b/Source/UnitTests/Fleet/upstream_registry_test.cc
@@ -57,6 +57,47 @@
   CHECK(registry.Usable("s", MonotonicTime(9000)).size() == 1);
 }
 
+// Guards against sending a request that crashed an upstream to its successor,
+// because the registration of the crashed process is still valid.
+TEST_CASE("a later process at an upstream's address shows that it has ended") {
+  struct Row {
+    const char* name;
+    bool was_leaving;
+    int64_t start_time_ms;
+    int64_t later_start_time_ms;
+    uint16_t later_port;
+    bool is_replaced;
+    size_t crashes;
+  };
+  const Row rows[] = {
+      {"a successor", false, 1000, 4000, 80, true, 1},
+      {"a successor of one that was leaving", true, 1000, 4000, 80, true, 0},
+      {"another address", false, 1000, 4000, 81, false, 0},
+      {"an outdated registration", false, 4000, 1000, 80, false, 0},
+      {"unknown start of the first", false, 0, 4000, 80, false, 0},
+      {"unknown start of the second", false, 1000, 0, 80, false, 0},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    UpstreamRegistry registry;
+    UpstreamChange first = Registered("a", row.was_leaving);
+    first.record->start_time_ms = row.start_time_ms;
+    registry.Apply(first, MonotonicTime(-9000), MonotonicTime(0));
+    UpstreamChange later = Registered("b");
+    later.record->start_time_ms = row.later_start_time_ms;
+    later.record->endpoint.port = row.later_port;
+    registry.Apply(later, MonotonicTime(-9000), MonotonicTime(3000));
+    CHECK((registry.Find("a") == nullptr) == row.is_replaced);
+    CHECK(registry.Find("b") != nullptr);
+    auto crashes = registry.PopCrashes();
+    REQUIRE(crashes.size() == row.crashes);
+    if (row.crashes == 0) continue;
+    CHECK(crashes[0].id == "a");
+    CHECK(crashes[0].start_time_ms == row.start_time_ms);
+    CHECK(crashes[0].evidence == CrashEvidence::kReplaced);
+  }
+}
+
 // Guards against requests that crash upstreams unnoticed around a store outage:
 // the removal after the grace was not reported as a crash.
 TEST_CASE("a registration that ends without leaving is a crash, once") {
