Count the crash of an upstream that its agent reported first only once

A request that was sent to an upstream right after its restart could be counted as running at a crash that never happened: the agent's status shows the restart before the registration does, and the registration's change was then recorded as the crash of the new process, since the status with the new start time was taken for the old one. Harmless requests get closer to being refused by it. Change: a status that has the new registration's start time says nothing about the process that ended. The new test failed before, '4000 == 1000' with and without an earlier status.

--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -56,6 +56,11 @@
                    upstream.record.weights != change.record->weights ||
                    upstream.registration_expires_at.has_value();
     if (restarted) {
+      // The agent's status may be of the new process already.
+      if (upstream.status &&
+          upstream.status->start_time_ms == change.record->start_time_ms) {
+        upstream.status.reset();
+      }
       RecordCrash(upstream, CrashEvidence::kRestarted);
       upstream.status.reset();
       upstream.refuses_connections = false;
--- a/Source/UnitTests/Fleet/upstream_registry_test.cc
+++ b/Source/UnitTests/Fleet/upstream_registry_test.cc
@@ -57,6 +57,32 @@
   CHECK(registry.Usable("s", MonotonicTime(9000)).size() == 1);
 }
 
+// Guards against taking a running process for a crashed one: its agent's status
+// shows a restart before the registration does.
+TEST_CASE("a restart that the agent reported first is the same crash") {
+  for (bool has_earlier_status : {true, false}) {
+    CAPTURE(has_earlier_status);
+    UpstreamRegistry registry;
+    UpstreamChange change = Registered("a");
+    change.record->start_time_ms = 1000;
+    registry.Apply(change, MonotonicTime(-9000), MonotonicTime(0));
+    UpstreamStatus status;
+    status.upstream = change.record->endpoint;
+    status.reachable = true;
+    status.sequence = 1;
+    status.start_time_ms = 1000;
+    if (has_earlier_status) registry.RecordStatus(status, MonotonicTime(100));
+    ++status.sequence;
+    status.start_time_ms = 4000;
+    registry.RecordStatus(status, MonotonicTime(3000));
+    change.record->start_time_ms = 4000;
+    registry.Apply(change, MonotonicTime(-9000), MonotonicTime(3500));
+    auto crashes = registry.PopCrashes();
+    REQUIRE_FALSE(crashes.empty());
+    for (const UpstreamCrash& it : crashes) CHECK(it.start_time_ms == 1000);
+  }
+}
+
 // Guards against sending a request that crashed an upstream to its successor,
 // because the registration of the crashed process is still valid.
 TEST_CASE("a later process at an upstream's address shows that it has ended") {
