Decode, log and count the rate limits that upstreams name

The adapter decodes the header into a typed field: one non-negative decimal number; any other text, or two fields, counts as malformed, is logged, and leaves the known limit. A response to a misdirected request (421) is another server's, so its limit is ignored. A limit belongs to one process, by id and start time. It ends with a signed response without it, if that response's request was sent after the limit was stated, so that responses which overtake one another don't end it. Lines rate_limit and rate_limit_use and three metrics separate the hypotheses. Where requests go does not change.

--- a/Source/Core/Common/text.cc
+++ b/Source/Core/Common/text.cc
@@ -38,6 +38,19 @@
   return parts;
 }
 
+std::optional<double> ParseDecimal(std::string_view text) {
+  // from_chars accepts "inf" and "-1" as well.
+  bool is_decimal =
+      !text.empty() && text.find_first_not_of("0123456789.") == text.npos;
+  if (!is_decimal) return std::nullopt;
+  double value = 0;
+  auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(),
+                                   value, std::chars_format::fixed);
+  if (ec != std::errc() || end != text.data() + text.size())
+    return std::nullopt;
+  return value;
+}
+
 std::optional<uint64_t> ParseU64(std::string_view text) {
   uint64_t value = 0;
   auto [end, ec] =
--- a/Source/Core/Common/text.h
+++ b/Source/Core/Common/text.h
@@ -21,6 +21,10 @@
 /// std::nullopt otherwise. Thread safe.
 std::optional<uint64_t> ParseU64(std::string_view text);
 
+/// Parses a non-negative decimal number without exponent, such as "2" or "0.5",
+/// that fills `text`; returns std::nullopt otherwise. Thread safe.
+std::optional<double> ParseDecimal(std::string_view text);
+
 /// Returns the candidate with the smallest edit distance to `word`, or
 /// std::nullopt if every distance exceeds half the word's length (at least 1)
 /// and a misspelling is unlikely. Thread safe.
--- a/Source/Core/Fleet/request_fields.h
+++ b/Source/Core/Fleet/request_fields.h
@@ -44,6 +44,10 @@
   bool is_signed = false;     ///< The upstream vouches for the response.
   std::optional<UpstreamLoad> load;
   std::optional<uint64_t> weights_version;
+  /// Requests per second that the upstream takes from all routers together.
+  std::optional<double> rate_limit;
+  /// A rate limit is present, but is not a single non-negative number.
+  bool has_malformed_rate_limit = false;
 };
 
 }  // namespace primrosecove
--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -42,6 +42,11 @@
          static_cast<int>(others);
 }
 
+int64_t FleetUpstream::StartTimeMs() const {
+  // The agent's status shows a restart sooner than the registration.
+  return std::max(record.start_time_ms, status ? status->start_time_ms : 0);
+}
+
 void UpstreamRegistry::Apply(const UpstreamChange& change,
                              MonotonicTime reachable_since, MonotonicTime now) {
   auto it = upstreams_.find(change.id);
@@ -214,10 +219,7 @@
   static constexpr const char* kNames[] = {
       "registration ended", "restarted", "unreachable to its agent",
       "refuses connections", "replaced at its address"};
-  // The agent's status shows a restart sooner than the registration.
-  int64_t start_time_ms = upstream.record.start_time_ms;
-  if (upstream.status)
-    start_time_ms = std::max(start_time_ms, upstream.status->start_time_ms);
+  int64_t start_time_ms = upstream.StartTimeMs();
   PC_INFO(kMembership, "event=upstream_crashed id="
                            << upstream.record.id << " started=" << start_time_ms
                            << " why=\"" << kNames[static_cast<size_t>(evidence)]
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -45,6 +45,9 @@
   /// request while this router had no other request in flight there.
   MonotonicTime last_progress{-1'000'000};
 
+  /// Returns the Unix time in ms at which its process started, by its
+  /// registration or its agent's status; 0 if unknown.
+  int64_t StartTimeMs() const;
   /// Estimates the number of requests at it: the last reported load, corrected
   /// by the requests of this router that started and ended since.
   int ExpectedLoad(MonotonicTime now) const;
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -317,6 +317,7 @@
   response_body_.clear();
   framer_.Reset();
   state_->registry.OnSent(upstream_id_, now);
+  state_->rate_limits.OnSent(*upstream);
   sent_as_suspect_ = false;
   if (is_suspect_) {
     sent_as_suspect_ = !state_->crash_correlator.HasActiveSuspect(upstream_id_);
@@ -341,6 +342,8 @@
       platform::DecodeResponseFields(head.status, head.headers);
   MonotonicTime now = state_->Now();
   state_->registry.OnProgress(upstream_id_, now);
+  if (const FleetUpstream* upstream = state_->registry.Find(upstream_id_))
+    state_->rate_limits.OnResponse(*upstream, response, sent_at_, now);
   if (response.load) {
     state_->registry.RecordResponseLoad(upstream_id_, *response.load, now);
   }
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -23,6 +23,8 @@
 // Requests on a lost upstream are detected and retried at this interval.
 constexpr Milliseconds kRequestCheckPeriod{100};
 constexpr Milliseconds kLogFlushPeriod{100};
+// Interval at which the use of rate limits is logged.
+constexpr Milliseconds kRateLimitPeriod{1000};
 constexpr Milliseconds kStopCheckPeriod{50};
 // Number of agents that keep and forward crash reports; more than one of them
 // may be down or unreachable.
@@ -140,6 +142,7 @@
         });
   }
   AddCrashMetrics();
+  AddRateLimitMetrics();
   metrics_.AddGauge(
       "primrosecove_router_config_version",
       "Version of the configuration in force", {}, [this] {
@@ -194,6 +197,31 @@
       });
 }
 
+void FleetRouter::AddRateLimitMetrics() {
+  struct Row {
+    const char* name;
+    const char* help;
+    uint64_t RateLimitCounters::*member;
+  };
+  static constexpr Row kRows[] = {
+      {"rate_limit_changes_total", "Changes of upstreams' rate limits",
+       &RateLimitCounters::changes},
+      {"rate_limited_sends_total", "Requests sent to rate-limited upstreams",
+       &RateLimitCounters::sends},
+  };
+  for (const Row& row : kRows) {
+    metrics_.AddCounter(
+        std::string("primrosecove_router_") + row.name, row.help, {},
+        [this, row] {
+          return static_cast<double>(state_.rate_limits.counters().*row.member);
+        });
+  }
+  metrics_.AddGauge("primrosecove_router_rate_limited_upstreams",
+                    "Upstreams with a rate limit", {}, [this] {
+                      return static_cast<double>(state_.rate_limits.size());
+                    });
+}
+
 Result<void> FleetRouter::Start() {
   state_.policy = MakePlacementPolicy(options_.placement);
   if (state_.policy == nullptr) {
@@ -235,6 +263,8 @@
       loop_->Every(kUpdatePeriod, [this] { SendDeploymentUpdates(); });
   crash_digest_timer_ =
       loop_->Every(kCrashDigestPeriod, [this] { SendCrashDigest(); });
+  rate_limit_timer_ = loop_->Every(
+      kRateLimitPeriod, [this] { state_.rate_limits.Update(state_.registry); });
   request_check_timer_ =
       loop_->Every(kRequestCheckPeriod, [this] { CheckRequests(); });
   log_flush_timer_ = loop_->Every(kLogFlushPeriod, [] { FlushLogs(); });
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -42,6 +42,7 @@
   Endpoint peer_endpoint() const {
     return PeerEndpoint(state_.settings, state_.settings.ip);
   }
+  const UpstreamRateLimits& rate_limits() const { return state_.rate_limits; }
   const CrashCorrelator& crash_correlator() const {
     return state_.crash_correlator;
   }
@@ -50,6 +51,7 @@
  private:
   void AddMetrics();
   void AddCrashMetrics();
+  void AddRateLimitMetrics();
   void HandleRequest(std::shared_ptr<Http1Exchange> exchange);
   void HandleReadiness(std::shared_ptr<Http1Exchange> exchange);
   void ApplyChange(const DeploymentChange& change);
@@ -87,6 +89,7 @@
       0};  ///< Last time with unfinished responses while stopping.
   Timer update_timer_;
   Timer crash_digest_timer_;
+  Timer rate_limit_timer_;
   Timer request_check_timer_;
   Timer stop_check_timer_;
   Timer log_flush_timer_;
--- a/Source/Core/Router/fleet_state.h
+++ b/Source/Core/Router/fleet_state.h
@@ -15,6 +15,7 @@
 #include "Core/Fleet/minimum_version.h"
 #include "Core/Fleet/placement_policy.h"
 #include "Core/Fleet/route_table.h"
+#include "Core/Fleet/upstream_rate_limits.h"
 #include "Core/Fleet/upstream_registry.h"
 #include "Core/Net/http1_client.h"
 #include "Core/Router/crash_correlator.h"
@@ -48,6 +49,7 @@
       routes;  ///< Null until a configuration is read.
   ConfigFreshness freshness{FleetBounds{}};
   UpstreamRegistry registry;
+  UpstreamRateLimits rate_limits;
   CrashCorrelator crash_correlator;
   MinimumVersion minimum_versions{Milliseconds(0)};
   std::unique_ptr<PlacementPolicy> policy;
--- /dev/null
+++ b/Source/UnitTests/Fleet/upstream_rate_limits_test.cc
@@ -0,0 +1,75 @@
+// Tests the rate limits of upstreams as one router knows them.
+#include "Core/Fleet/upstream_rate_limits.h"
+
+#include <catch2/catch.hpp>
+
+namespace primrosecove {
+namespace {
+
+FleetUpstream MakeUpstream(int64_t start_time_ms = 1000) {
+  FleetUpstream out;
+  out.record.id = "a";
+  out.record.service = "s";
+  out.record.endpoint = {"10.0.0.1", 80};
+  out.record.start_time_ms = start_time_ms;
+  return out;
+}
+
+ResponseFields Response(std::optional<double> limit, bool is_signed = true) {
+  ResponseFields out;
+  out.is_signed = is_signed;
+  out.rate_limit = limit;
+  return out;
+}
+
+// Guards against a limit that is kept, dropped or taken over wrongly.
+TEST_CASE("a rate limit holds until its process states another or none") {
+  struct Row {
+    const char* name;
+    ResponseFields response;
+    int64_t request_sent_at;
+    int64_t start_time_ms;
+    std::optional<double> limit;
+  };
+  ResponseFields malformed = Response(std::nullopt);
+  malformed.has_malformed_rate_limit = true;
+  const Row rows[] = {
+      {"another value", Response(5), 100, 1000, 5},
+      {"none, in response to a later request", Response(std::nullopt), 1100,
+       1000, std::nullopt},
+      {"none, in response to an earlier request", Response(std::nullopt), 900,
+       1000, 2},
+      {"none, in an unsigned response", Response(std::nullopt, false), 1100,
+       1000, 2},
+      {"malformed", malformed, 1100, 1000, 2},
+      {"none, by the next process", Response(std::nullopt), 1100, 2000,
+       std::nullopt},
+      {"another value, by the next process", Response(7, false), 1100, 2000, 7},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    UpstreamRateLimits limits;
+    FleetUpstream upstream = MakeUpstream();
+    CHECK_FALSE(limits.LimitOf(upstream));
+    limits.OnResponse(upstream, Response(2, false), MonotonicTime(0),
+                      MonotonicTime(1000));
+    CHECK(limits.LimitOf(upstream) == 2);
+    upstream.record.start_time_ms = row.start_time_ms;
+    limits.OnResponse(upstream, row.response,
+                      MonotonicTime(row.request_sent_at), MonotonicTime(1200));
+    CHECK(limits.LimitOf(upstream) == row.limit);
+  }
+}
+
+TEST_CASE("the next process of an upstream has no limit until it states one") {
+  UpstreamRateLimits limits;
+  limits.OnResponse(MakeUpstream(1000), Response(2), MonotonicTime(0),
+                    MonotonicTime(10));
+  CHECK(limits.size() == 1);
+  CHECK_FALSE(limits.LimitOf(MakeUpstream(2000)));
+  limits.Update(UpstreamRegistry());
+  CHECK(limits.size() == 0);
+}
+
+}  // namespace
+}  // namespace primrosecove
--- a/Source/UnitTests/Platform/codec_test.cc
+++ b/Source/UnitTests/Platform/codec_test.cc
@@ -154,6 +154,43 @@
   CHECK(DecodeCallerFields(caller).prompt_tokens == 10);
 }
 
+TEST_CASE("a rate limit is one non-negative decimal number") {
+  struct Row {
+    const char* name;
+    int status;
+    std::vector<std::string> values;
+    std::optional<double> limit;
+    bool is_malformed;
+  };
+  const Row rows[] = {
+      {"absent", 200, {}, std::nullopt, false},
+      {"whole number", 200, {"3"}, 3, false},
+      {"fraction", 200, {"0.25"}, 0.25, false},
+      {"zero", 200, {"0"}, 0, false},
+      {"very large", 200, {"100000000000"}, 1e11, false},
+      {"in an error", 503, {"2"}, 2, false},
+      {"of another server", 421, {"2"}, std::nullopt, false},
+      {"empty", 200, {""}, std::nullopt, true},
+      {"negative", 200, {"-1"}, std::nullopt, true},
+      {"not a number", 200, {"nan"}, std::nullopt, true},
+      {"infinite", 200, {"inf"}, std::nullopt, true},
+      {"exponent", 200, {"1e3"}, std::nullopt, true},
+      {"trailing text", 200, {"2/s"}, std::nullopt, true},
+      {"two points", 200, {"1.2.3"}, std::nullopt, true},
+      {"no digit", 200, {"."}, std::nullopt, true},
+      {"twice", 200, {"2", "2"}, std::nullopt, true},
+      {"twice, one malformed", 200, {"x", "2"}, std::nullopt, true},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    HttpHeaders headers;
+    for (const std::string& it : row.values) headers.Add("server-limit", it);
+    ResponseFields out = DecodeResponseFields(row.status, headers);
+    CHECK(out.rate_limit == row.limit);
+    CHECK(out.has_malformed_rate_limit == row.is_malformed);
+  }
+}
+
 TEST_CASE("Retry-After is in seconds with three decimals") {
   auto retry_after = [](int64_t ms) {
     HttpHeaders out = RefusalHeaders("1", Milliseconds(ms));
