Add a failing test of the rate limit that an upstream states

In 4 s, 1.5 times the limit and 5 more are allowed; the others are to be refused at once with the time to come back, and all are to be served again once the limit is withdrawn.

--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -616,6 +616,43 @@
   CHECK(fixture.ExecutionCount() == 0);
 }
 
+// Guards against sending an upstream more requests than it takes: it states its
+// limit in a response and goes on answering.
+TEST_CASE("an upstream gets no more requests than the rate limit it states",
+          "[fleet][!mayfail]") {
+  constexpr double kLimit = 1;  // Requests per second.
+  RouterFixture fixture(95);
+  for (auto& [id, engine] : fixture.engines) engine->SetEvents(1);
+  fixture.engines["engine-1"]->Unregister();
+  RunUntil(&fixture.loop, [&] {
+    return !fixture.router->registry().all().contains("engine-1");
+  });
+  EngineStandIn& engine = *fixture.engines["engine-0"];
+  engine.SetRateLimit("1");
+  REQUIRE(fixture.SendAndWait("/stream/1").head->status == 200);
+  int before = engine.arrivals();
+  SteadyTime start = EventLoop::Now();
+  int refused = 0;
+  for (int i = 0; i < 40; ++i) {
+    CallResult result = fixture.SendAndWait("/stream/1");
+    if (result.head->status == 200) continue;
+    ++refused;
+    CHECK(result.head->status == 503);
+    CHECK(result.head->headers.Find("Retry-After"));
+  }
+  std::chrono::duration<double> elapsed = EventLoop::Now() - start;
+  double seconds = std::max(elapsed.count(), 4.0);
+  CHECK(engine.arrivals() - before <= 1.5 * kLimit * seconds + 5);
+  CHECK(refused + engine.arrivals() - before == 40);
+  // Without the limit, all requests are served again.
+  engine.SetRateLimit("");
+  RunUntil(&fixture.loop, [&] {
+    return fixture.SendAndWait("/stream/1").head->status == 200;
+  });
+  for (int i = 0; i < 10; ++i)
+    CHECK(fixture.SendAndWait("/stream/1").head->status == 200);
+}
+
 TEST_CASE("a request misdirected by a stale registration is not executed",
           "[fleet]") {
   RouterFixture fixture(80);
