Keep the rate limit that an upstream states

Cause: the header was not read; a limited upstream looks idle, so the placement by expected load even prefers it. Change: a router sends a limited upstream only its share of each second's requests. With the number of routers alone known, as the retry budget estimates it, the sum keeps the limit on average. Shares lapse with their second, so that a restart or a suspension leaves none over. An attempt whose connection failed is taken back. What only limited upstreams can serve is refused at once, with the time to the next request that may be sent. The estimate of the number of routers moves out of the retry budget into a class of its own.

--- a/Source/Core/Fleet/fleet_retry_budget.cc
+++ b/Source/Core/Fleet/fleet_retry_budget.cc
@@ -12,22 +12,11 @@
 // the process before it still count. With it, a restart of all routers in one
 // window keeps the budget: kUsedShare x (1 + kShareAfterStart) < 1.
 constexpr double kShareAfterStart = 0.4;
-// Used until the number of routers is known; too high a number is safe, because
-// it makes this host's share of the slack smaller.
-constexpr int kInitialRouters = 8;
 
 }  // namespace
 
 FleetRetryBudget::FleetRetryBudget(const FleetBounds& bounds)
-    : bounds_(bounds), routers_(kInitialRouters) {}
-
-void FleetRetryBudget::SetRouterCount(int routers, Milliseconds now) {
-  // An agent that has just started, or was cut off, knows few routers.
-  bool is_recent = now - routers_reported_at_ <= bounds_.retry_window;
-  if (routers < routers_ && is_recent) return;
-  routers_ = std::max(routers, 1);
-  routers_reported_at_ = now;
-}
+    : bounds_(bounds), routers_(bounds.retry_window) {}
 
 FleetRetryBudget::Bucket& FleetRetryBudget::CurrentBucket(Milliseconds now) {
   int64_t width =
@@ -52,7 +41,7 @@
     retries += it.retries;
   }
   double share = bounds_.retry_ratio * static_cast<double>(requests) +
-                 bounds_.retry_slack / routers_;
+                 bounds_.retry_slack / routers_.value();
   double used_share = kUsedShare;
   if (now < bounds_.retry_window) used_share *= kShareAfterStart;
   return used_share * share - static_cast<double>(retries);
--- a/Source/Core/Fleet/fleet_retry_budget.h
+++ b/Source/Core/Fleet/fleet_retry_budget.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 
 #include "Core/Fleet/deployment.h"
+#include "Core/Fleet/router_count.h"
 
 namespace primrosecove {
 
@@ -20,7 +21,9 @@
 
   /// Reports the number of routers that share the slack, as one agent sees it.
   /// The largest number of a window counts.
-  void SetRouterCount(int routers, Milliseconds now);
+  void SetRouterCount(int routers, Milliseconds now) {
+    routers_.Report(routers, now);
+  }
   /// Counts a request at its first attempt.
   void OnRequest(Milliseconds now);
   /// Counts one retry if the window has room for it.
@@ -41,8 +44,7 @@
   Bucket& CurrentBucket(Milliseconds now);
 
   FleetBounds bounds_;
-  int routers_;
-  Milliseconds routers_reported_at_{0};
+  RouterCount routers_;
   std::array<Bucket, kBuckets> buckets_;
 };
 
--- a/Source/Core/Fleet/placement_policy.h
+++ b/Source/Core/Fleet/placement_policy.h
@@ -35,7 +35,8 @@
   Milliseconds wait{0};               ///< Expected in the upstream's queue.
   /// When an upstream should have a free slot; set if none was chosen.
   Milliseconds retry_after{0};
-  size_t candidates = 0;  ///< Number of upstreams that were considered.
+  size_t candidates = 0;    ///< Number of upstreams that were considered.
+  size_t rate_limited = 0;  ///< Upstreams left out because of a rate limit.
 };
 
 /// Strategy for choosing upstreams; one instance per process. Not thread safe.
--- a/Source/Core/Fleet/upstream_rate_limits.cc
+++ b/Source/Core/Fleet/upstream_rate_limits.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Core/Common/log.h"
+#include "Core/Fleet/rate_limit_share.h"
 
 namespace primrosecove {
 namespace {
@@ -12,6 +13,12 @@
 
 }  // namespace
 
+bool RateLimitStatement::IsNewerThan(const RateLimitStatement& other) const {
+  if (start_time_ms != other.start_time_ms)
+    return start_time_ms > other.start_time_ms;
+  return made_at > other.made_at;
+}
+
 void UpstreamRateLimits::OnResponse(const FleetUpstream& upstream,
                                     const ResponseFields& response,
                                     MonotonicTime request_sent_at,
@@ -36,10 +43,7 @@
                                 const char* source, MonotonicTime now) {
   auto [it, is_new] = entries_.try_emplace(statement.upstream_id);
   RateLimitStatement& known = it->second.statement;
-  bool is_newer = is_new || statement.start_time_ms > known.start_time_ms ||
-                  (statement.start_time_ms == known.start_time_ms &&
-                   statement.made_at >= known.made_at);
-  if (!is_newer) return;
+  if (!is_new && !statement.IsNewerThan(known)) return;
   bool changed = is_new || known.limit != statement.limit ||
                  known.start_time_ms != statement.start_time_ms;
   if (changed) {
@@ -65,10 +69,50 @@
   return known.limit;
 }
 
-void UpstreamRateLimits::OnSent(const FleetUpstream& upstream) {
+int64_t UpstreamRateLimits::Share(const Entry& entry, int64_t period) const {
+  return EstimatedShareOfPeriod(*entry.statement.limit, period,
+                                entry.statement.upstream_id, router_id_,
+                                router_count_.value());
+}
+
+bool UpstreamRateLimits::MaySend(const FleetUpstream& upstream,
+                                 MonotonicTime now, int64_t unix_ms) {
+  if (!LimitOf(upstream)) return true;
+  Entry& entry = entries_.at(upstream.record.id);
+  entry.last_wanted_at = now;
+  int64_t period = RateLimitPeriodAt(unix_ms);
+  int64_t sent = entry.period == period ? entry.sent : 0;
+  if (sent < Share(entry, period)) return true;
+  ++counters_.skips;
+  ++entry.logged_skips;
+  return false;
+}
+
+void UpstreamRateLimits::OnSent(const FleetUpstream& upstream,
+                                int64_t unix_ms) {
   if (!LimitOf(upstream)) return;
   ++counters_.sends;
-  ++entries_.at(upstream.record.id).sends;
+  Entry& entry = entries_.at(upstream.record.id);
+  ++entry.logged_sends;
+  int64_t period = RateLimitPeriodAt(unix_ms);
+  if (entry.period != period) entry.sent = 0;
+  entry.period = period;
+  ++entry.sent;
+}
+
+void UpstreamRateLimits::OnNotSent(const std::string& upstream_id,
+                                   int64_t unix_ms) {
+  auto it = entries_.find(upstream_id);
+  if (it == entries_.end()) return;
+  bool is_same_period = it->second.period == RateLimitPeriodAt(unix_ms);
+  if (is_same_period && it->second.sent > 0) --it->second.sent;
+}
+
+Milliseconds UpstreamRateLimits::TimeToNextRequest(
+    const FleetUpstream& upstream, int64_t unix_ms) const {
+  auto limit = LimitOf(upstream);
+  if (!limit) return Milliseconds(0);
+  return primrosecove::TimeToNextRequest(*limit, unix_ms);
 }
 
 void UpstreamRateLimits::Update(const UpstreamRegistry& registry) {
@@ -76,12 +120,14 @@
     return !registry.all().contains(it.first);
   });
   for (auto& [id, entry] : entries_) {
-    int sends = std::exchange(entry.sends, 0);
-    if (sends == 0) continue;
+    int sends = std::exchange(entry.logged_sends, 0);
+    int skips = std::exchange(entry.logged_skips, 0);
+    if (sends == 0 && skips == 0) continue;
     PC_INFO(kMembership,
             "event=rate_limit_use id="
                 << id << " limit=" << entry.statement.limit.value_or(kNoLimit)
-                << " sends=" << sends);
+                << " sends=" << sends << " skips=" << skips
+                << " routers=" << router_count_.value());
   }
 }
 
--- a/Source/Core/Fleet/upstream_rate_limits.h
+++ b/Source/Core/Fleet/upstream_rate_limits.h
@@ -5,9 +5,13 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
+#include <vector>
 
+#include "Core/Fleet/fleet_messages.h"
 #include "Core/Fleet/request_fields.h"
+#include "Core/Fleet/router_count.h"
 #include "Core/Fleet/upstream_registry.h"
 
 namespace primrosecove {
@@ -18,29 +22,58 @@
   int64_t start_time_ms = 0;    ///< Of the process; 0 if unknown.
   std::optional<double> limit;  ///< Requests per second; empty if it has none.
   MonotonicTime made_at{0};
+
+  /// Whether this statement replaces `other` of the same upstream.
+  bool IsNewerThan(const RateLimitStatement& other) const;
 };
 
 /// Counters that the metrics endpoint exports.
 struct RateLimitCounters {
   uint64_t changes = 0;  ///< Of known limits, including their ends.
   uint64_t sends = 0;    ///< Requests sent to limited upstreams.
+  uint64_t skips = 0;    ///< Choices that left out an upstream at its limit.
 };
 
-/// Rate limits of upstreams as one router knows them. Not thread safe; callers
-/// pass the current time.
+/// Rate limits of upstreams as one router knows them, and its share of each.
+/// Answers the load in which many routers each have more requests for an
+/// upstream than all together may send. Not thread safe; callers pass the time
+/// since the process's start and, where `unix_ms` is asked for, the wall clock.
 class UpstreamRateLimits {
  public:
+  /// `router_id` identifies this router across restarts; `router_count_window`
+  /// is the time for which a report of the number of routers counts.
+  explicit UpstreamRateLimits(
+      uint64_t router_id = 0,
+      Milliseconds router_count_window = Milliseconds(10'000))
+      : router_id_(router_id), router_count_(router_count_window) {}
+
   /// Records what a response says. `request_sent_at` is when its request was
   /// sent: a response that was under way when the upstream stated a limit does
   /// not end that limit.
   void OnResponse(const FleetUpstream& upstream, const ResponseFields& response,
                   MonotonicTime request_sent_at, MonotonicTime now);
-  /// Counts a request that is sent to an upstream.
-  void OnSent(const FleetUpstream& upstream);
+  /// Records the number of routers that an agent knows. It determines this
+  /// router's share until the sharers themselves are known.
+  void SetRouterCount(int routers, MonotonicTime now) {
+    router_count_.Report(routers, now);
+  }
   /// Forgets upstreams that are not registered, and logs the use of limits
   /// since the last call.
   void Update(const UpstreamRegistry& registry);
 
+  /// Returns whether a request may be sent to an upstream now, and records that
+  /// there is one.
+  bool MaySend(const FleetUpstream& upstream, MonotonicTime now,
+               int64_t unix_ms);
+  /// Counts a request that is sent to an upstream. Precondition: MaySend.
+  void OnSent(const FleetUpstream& upstream, int64_t unix_ms);
+  /// Takes back a request that did not reach the upstream.
+  void OnNotSent(const std::string& upstream_id, int64_t unix_ms);
+  /// Returns the time to the next request that any router may send to an
+  /// upstream.
+  Milliseconds TimeToNextRequest(const FleetUpstream& upstream,
+                                 int64_t unix_ms) const;
+
   /// Returns the limit of an upstream's present process, if it has one.
   std::optional<double> LimitOf(const FleetUpstream& upstream) const;
   /// Number of upstreams with a limit.
@@ -50,13 +83,22 @@
  private:
   struct Entry {
     RateLimitStatement statement;
-    int sends = 0;  // Since the last line in the log.
+    // Requests sent in the period.
+    int64_t period = -1;
+    int64_t sent = 0;
+    MonotonicTime last_wanted_at{-1'000'000};
+    // Since the last line in the log.
+    int logged_sends = 0;
+    int logged_skips = 0;
   };
 
   // Records a statement if it is newer than the known one.
   void Record(const RateLimitStatement& statement, const char* source,
               MonotonicTime now);
+  int64_t Share(const Entry& entry, int64_t period) const;
 
+  uint64_t router_id_;
+  RouterCount router_count_;
   std::map<std::string, Entry> entries_;  // By upstream.
   RateLimitCounters counters_;
 };
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -201,8 +201,23 @@
   return without_suspects.empty() ? out : without_suspects;
 }
 
+std::optional<Milliseconds> FleetRequest::RemoveRateLimited(
+    std::vector<FleetUpstream*>* candidates, MonotonicTime now) {
+  int64_t unix_ms = WallClockMs();
+  std::optional<Milliseconds> out;
+  std::erase_if(*candidates, [&](const FleetUpstream* it) {
+    if (state_->rate_limits.MaySend(*it, now, unix_ms)) return false;
+    auto time = state_->rate_limits.TimeToNextRequest(*it, unix_ms);
+    out = std::min(out.value_or(time), time);
+    return true;
+  });
+  return out;
+}
+
 Placement FleetRequest::ChoosePlacement(MonotonicTime now) {
   auto candidates = FindCandidates(now);
+  size_t all = candidates.size();
+  auto time_to_request = RemoveRateLimited(&candidates, now);
   PlacementRequest request;
   request.route = route_;
   request.service = service_;
@@ -219,6 +234,10 @@
   request.response_started = event_count_ > 0;
   Placement out = state_->policy->Choose(candidates, request, now);
   out.candidates = candidates.size();
+  out.rate_limited = all - candidates.size();
+  // Without a candidate, only the limited upstreams can serve the request.
+  if (candidates.empty())
+    out.retry_after = time_to_request.value_or(Milliseconds(0));
   return out;
 }
 
@@ -242,9 +261,13 @@
   MonotonicTime now = state_->Now();
   Placement placement = ChoosePlacement(now);
   if (placement.upstream != nullptr) return StartAttempt(placement);
-  GiveUp(placement.candidates == 0 ? "no upstream available"
-                                   : "all upstreams at capacity",
-         placement.retry_after);
+  const char* why = "no upstream available";
+  if (placement.candidates > 0) {
+    why = "all upstreams at capacity";
+  } else if (placement.rate_limited > 0) {
+    why = "all upstreams at their rate limit";
+  }
+  GiveUp(why, placement.retry_after);
 }
 
 void FleetRequest::GiveUp(const char* why, Milliseconds retry_after) {
@@ -317,7 +340,7 @@
   response_body_.clear();
   framer_.Reset();
   state_->registry.OnSent(upstream_id_, now);
-  state_->rate_limits.OnSent(*upstream);
+  state_->rate_limits.OnSent(*upstream, WallClockMs());
   sent_as_suspect_ = false;
   if (is_suspect_) {
     sent_as_suspect_ = !state_->crash_correlator.HasActiveSuspect(upstream_id_);
@@ -400,6 +423,7 @@
       --attempts_;
       ++failed_connections_;
       if (result.refused) state_->registry.OnConnectionRefused(upstream_id_);
+      state_->rate_limits.OnNotSent(upstream_id_, WallClockMs());
       ReleaseUpstream(false);
       if (failed_connections_ < kMaxFailedConnections && !IsBlocked() &&
           TimeLeft() > Milliseconds(0)) {
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -24,7 +24,7 @@
 constexpr Milliseconds kRequestCheckPeriod{100};
 constexpr Milliseconds kLogFlushPeriod{100};
 // Interval at which the use of rate limits is logged.
-constexpr Milliseconds kRateLimitPeriod{1000};
+constexpr Milliseconds kRateLimitLogPeriod{1000};
 constexpr Milliseconds kStopCheckPeriod{50};
 // Number of agents that keep and forward crash reports; more than one of them
 // may be down or unreachable.
@@ -98,6 +98,8 @@
   state_.crash_correlator = CrashCorrelator(
       UpstreamRegistry::MaxDetectionTime(state_.settings.heartbeat));
   state_.minimum_versions = MinimumVersion(bounds.version);
+  state_.rate_limits = UpstreamRateLimits(
+      RendezvousScore("router", state_.settings.name), bounds.retry_window);
   state_.random.seed(RandomU64());
   AddMetrics();
 }
@@ -208,6 +210,9 @@
        &RateLimitCounters::changes},
       {"rate_limited_sends_total", "Requests sent to rate-limited upstreams",
        &RateLimitCounters::sends},
+      {"rate_limit_skips_total",
+       "Choices that left out an upstream at its rate limit",
+       &RateLimitCounters::skips},
   };
   for (const Row& row : kRows) {
     metrics_.AddCounter(
@@ -263,8 +268,9 @@
       loop_->Every(kUpdatePeriod, [this] { SendDeploymentUpdates(); });
   crash_digest_timer_ =
       loop_->Every(kCrashDigestPeriod, [this] { SendCrashDigest(); });
-  rate_limit_timer_ = loop_->Every(
-      kRateLimitPeriod, [this] { state_.rate_limits.Update(state_.registry); });
+  rate_limit_timer_ = loop_->Every(kRateLimitLogPeriod, [this] {
+    state_.rate_limits.Update(state_.registry);
+  });
   request_check_timer_ =
       loop_->Every(kRequestCheckPeriod, [this] { CheckRequests(); });
   log_flush_timer_ = loop_->Every(kLogFlushPeriod, [] { FlushLogs(); });
@@ -389,9 +395,10 @@
   const auto* status = std::get_if<UpstreamStatus>(&message.value());
   if (status == nullptr) return;
   state_.registry.RecordStatus(*status, state_.Now());
-  for (auto& [service, retry_budget] : state_.retry_budgets) {
-    retry_budget.SetRouterCount(static_cast<int>(status->active_routers), now);
-  }
+  auto routers = static_cast<int>(status->active_routers);
+  state_.rate_limits.SetRouterCount(routers, now);
+  for (auto& [service, retry_budget] : state_.retry_budgets)
+    retry_budget.SetRouterCount(routers, now);
 }
 
 std::vector<DeploymentUpdate> FleetRouter::MakeDeploymentUpdates() {
--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -619,7 +619,7 @@
 // Guards against sending an upstream more requests than it takes: it states its
 // limit in a response and goes on answering.
 TEST_CASE("an upstream gets no more requests than the rate limit it states",
-          "[fleet][!mayfail]") {
+          "[fleet]") {
   constexpr double kLimit = 1;  // Requests per second.
   RouterFixture fixture(95);
   for (auto& [id, engine] : fixture.engines) engine->SetEvents(1);
