Share rate limits and their division among routers through agents

Change: each router reports the limits that it knows twice a second, and at once when one changes, to up to four agents. An agent answers with all limits that it has been told and with the routers that had requests for the upstream lately, and tells the others what has changed. The routers divide each period of the wall clock among these, each for itself and all alike. Statements carry their age, not a time of day, and the newest wins; a process that starts learns the present ones with its first report. Weighed: equal shares (wasted where traffic is uneven, less than one a window for 340 routers); tokens from the agent beside an engine (plain services have none, and its restart forgets them); counts of what each has sent (late by a round trip, in which all see the same free place). At most 64 routers share, so that a datagram holds them.

--- a/Source/Core/Agent/fleet_agent.cc
+++ b/Source/Core/Agent/fleet_agent.cc
@@ -73,6 +73,10 @@
                     "Crash observations kept for routers", {}, [this] {
                       return static_cast<double>(crash_relay_.table().size());
                     });
+  metrics_.AddGauge(
+      "primrosecove_agent_rate_limits",
+      "Upstreams whose rate limit is kept for routers", {},
+      [this] { return static_cast<double>(rate_limit_relay_.size()); });
   metrics_.AddGauge("primrosecove_agent_weights_version",
                     "Version that the engine serves whole", {}, [this] {
                       return static_cast<double>(status_.served_version);
@@ -141,6 +145,14 @@
   }
   if (std::holds_alternative<LossReport>(message.value()))
     return ForwardToRouters(bytes, from);
+  if (const auto* report = std::get_if<RateLimitReport>(&message.value())) {
+    RateLimitRelay::Answer answer = rate_limit_relay_.OnReport(*report, now_ms);
+    for (const RateLimitSummary& it : answer.to_sender)
+      peer_socket_->Send(EncodeMessage(it), from);
+    for (const RateLimitSummary& it : answer.to_others)
+      ForwardToRouters(EncodeMessage(it), from);
+    return;
+  }
   if (const auto* digest = std::get_if<CrashDigest>(&message.value())) {
     for (const FleetMessage& it : crash_relay_.OnDigest(*digest, now_ms))
       peer_socket_->Send(EncodeMessage(it), from);
--- a/Source/Core/Agent/fleet_agent.h
+++ b/Source/Core/Agent/fleet_agent.h
@@ -9,6 +9,7 @@
 #include "Core/Agent/weight_stager.h"
 #include "Core/Control/metrics.h"
 #include "Core/Membership/crash_exchange.h"
+#include "Core/Membership/rate_limit_relay.h"
 #include "Core/Net/http1_server.h"
 #include "Core/Net/udp_socket.h"
 #include "platform/engine_and_origin_client.h"
@@ -46,6 +47,7 @@
   /// Time of the last datagram from each.
   std::map<Endpoint, SteadyTime> routers_;
   CrashRelay crash_relay_;
+  RateLimitRelay rate_limit_relay_;
   UpstreamStatus status_;
   std::string last_sent_status_;  ///< Last sent status, encoded without its
                                   ///< sequence number.
--- a/Source/Core/Fleet/fleet_messages.cc
+++ b/Source/Core/Fleet/fleet_messages.cc
@@ -11,6 +11,9 @@
 constexpr char kCrashReportTag = 'o';
 constexpr char kCrashDigestTag = 'd';
 constexpr char kLossReportTag = 'l';
+constexpr char kRateLimitReportTag = 'r';
+constexpr char kRateLimitSummaryTag = 's';
+constexpr double kNoRateLimit = -1;  // On the wire.
 
 struct EndpointWire {
   std::string ip;
@@ -100,6 +103,38 @@
   MSGPACK_DEFINE_ARRAY(entries);
 };
 
+struct RateLimitStatementWire {
+  std::string upstream_id;
+  int64_t start_time_ms = 0;
+  double limit = kNoRateLimit;
+  uint32_t age_ms = 0;
+  MSGPACK_DEFINE_ARRAY(upstream_id, start_time_ms, limit, age_ms);
+};
+
+struct RateLimitReportEntryWire {
+  RateLimitStatementWire statement;
+  bool wants_to_send = false;
+  MSGPACK_DEFINE_ARRAY(statement, wants_to_send);
+};
+
+struct RateLimitReportWire {
+  uint64_t router_id = 0;
+  std::vector<RateLimitReportEntryWire> entries;
+  MSGPACK_DEFINE_ARRAY(router_id, entries);
+};
+
+struct RateLimitSummaryEntryWire {
+  RateLimitStatementWire statement;
+  std::vector<uint64_t> sharers;
+  bool is_truncated = false;
+  MSGPACK_DEFINE_ARRAY(statement, sharers, is_truncated);
+};
+
+struct RateLimitSummaryWire {
+  std::vector<RateLimitSummaryEntryWire> entries;
+  MSGPACK_DEFINE_ARRAY(entries);
+};
+
 EndpointWire ToWire(const Endpoint& it) { return {it.ip, it.port}; }
 Endpoint FromWire(const EndpointWire& it) { return {it.ip, it.port}; }
 
@@ -211,11 +246,58 @@
   return out;
 }
 
+RateLimitStatementWire ToWire(const RateLimitStatementEntry& it) {
+  return {it.upstream_id, it.start_time_ms, it.limit.value_or(kNoRateLimit),
+          it.age_ms};
+}
+
+RateLimitStatementEntry FromWire(const RateLimitStatementWire& it) {
+  RateLimitStatementEntry out{it.upstream_id, it.start_time_ms, std::nullopt,
+                              it.age_ms};
+  // Not a number compares false.
+  if (it.limit >= 0) out.limit = it.limit;
+  return out;
+}
+
+RateLimitReportWire ToWire(const RateLimitReport& it) {
+  RateLimitReportWire out{it.router_id, {}};
+  for (const RateLimitReportEntry& entry : it.entries)
+    out.entries.push_back({ToWire(entry.statement), entry.wants_to_send});
+  return out;
+}
+
+RateLimitReport FromWire(const RateLimitReportWire& it) {
+  RateLimitReport out{it.router_id, {}};
+  for (const RateLimitReportEntryWire& entry : it.entries)
+    out.entries.push_back({FromWire(entry.statement), entry.wants_to_send});
+  return out;
+}
+
+RateLimitSummaryWire ToWire(const RateLimitSummary& it) {
+  RateLimitSummaryWire out;
+  for (const RateLimitSummaryEntry& entry : it.entries) {
+    out.entries.push_back(
+        {ToWire(entry.statement), entry.sharers, entry.is_truncated});
+  }
+  return out;
+}
+
+RateLimitSummary FromWire(const RateLimitSummaryWire& it) {
+  RateLimitSummary out;
+  for (const RateLimitSummaryEntryWire& entry : it.entries) {
+    out.entries.push_back(
+        {FromWire(entry.statement), entry.sharers, entry.is_truncated});
+  }
+  return out;
+}
+
 constexpr uint32_t kDeploymentUpdateFields = 11;
 constexpr uint32_t kStatusFields = 12;
 constexpr uint32_t kCrashReportFields = 1;
 constexpr uint32_t kCrashDigestFields = 2;
 constexpr uint32_t kLossReportFields = 1;
+constexpr uint32_t kRateLimitReportFields = 2;
+constexpr uint32_t kRateLimitSummaryFields = 1;
 
 template <typename Wire>
 FleetMessage Unpack(std::string_view bytes, uint32_t field_count) {
@@ -232,8 +314,9 @@
 
 std::string EncodeMessage(const FleetMessage& message) {
   static constexpr char kTags[] = {kDeploymentUpdateTag, kStatusTag,
-                                   kCrashReportTag, kCrashDigestTag,
-                                   kLossReportTag};
+                                   kCrashReportTag,      kCrashDigestTag,
+                                   kLossReportTag,       kRateLimitReportTag,
+                                   kRateLimitSummaryTag};
   msgpack::sbuffer buf;
   std::visit([&buf](const auto& it) { msgpack::pack(buf, ToWire(it)); },
              message);
@@ -260,6 +343,14 @@
     if (datagram.starts_with(kLossReportTag)) {
       return Unpack<LossReportWire>(datagram.substr(1), kLossReportFields);
     }
+    if (datagram.starts_with(kRateLimitReportTag)) {
+      return Unpack<RateLimitReportWire>(datagram.substr(1),
+                                         kRateLimitReportFields);
+    }
+    if (datagram.starts_with(kRateLimitSummaryTag)) {
+      return Unpack<RateLimitSummaryWire>(datagram.substr(1),
+                                          kRateLimitSummaryFields);
+    }
   } catch (const std::exception& e) {
     return Fail(ErrorCode::kInvalidArgument,
                 std::string("malformed datagram: ") + e.what());
--- a/Source/Core/Fleet/fleet_messages.h
+++ b/Source/Core/Fleet/fleet_messages.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -105,8 +106,50 @@
   bool is_reply = false;
 };
 
-using FleetMessage = std::variant<DeploymentUpdate, UpstreamStatus, CrashReport,
-                                  CrashDigest, LossReport>;
+/// The rate limit that a process of an upstream last stated.
+struct RateLimitStatementEntry {
+  std::string upstream_id;
+  int64_t start_time_ms = 0;    ///< Of the process; 0 if unknown.
+  std::optional<double> limit;  ///< Requests per second; empty if withdrawn.
+  uint32_t age_ms = 0;          ///< Since it was stated.
+  bool operator==(const RateLimitStatementEntry&) const = default;
+};
+
+struct RateLimitReportEntry {
+  RateLimitStatementEntry statement;
+  /// The router has had requests for the upstream in the last seconds.
+  bool wants_to_send = false;
+  bool operator==(const RateLimitReportEntry&) const = default;
+};
+
+/// Sent by a router to some agents, also without entries: the rate limits that
+/// it knows. An agent answers with summaries.
+struct RateLimitReport {
+  /// Entries that fit into a datagram that is not fragmented.
+  static constexpr size_t kMaxEntries = 16;
+  uint64_t router_id = 0;
+  std::vector<RateLimitReportEntry> entries;
+};
+
+struct RateLimitSummaryEntry {
+  static constexpr size_t kMaxSharers = 64;
+  RateLimitStatementEntry statement;
+  std::vector<uint64_t> sharers;  ///< Routers that share the limit.
+  /// There are more than kMaxSharers; the others may send nothing.
+  bool is_truncated = false;
+  bool operator==(const RateLimitSummaryEntry&) const = default;
+};
+
+/// Sent by an agent to a router: the rate limits that all routers reported.
+struct RateLimitSummary {
+  /// Entries that fit into a datagram that is not fragmented.
+  static constexpr size_t kMaxEntries = 2;
+  std::vector<RateLimitSummaryEntry> entries;
+};
+
+using FleetMessage =
+    std::variant<DeploymentUpdate, UpstreamStatus, CrashReport, CrashDigest,
+                 LossReport, RateLimitReport, RateLimitSummary>;
 
 /// Thread safe.
 std::string EncodeMessage(const FleetMessage& message);
--- a/Source/Core/Fleet/rate_limit_share.cc
+++ b/Source/Core/Fleet/rate_limit_share.cc
@@ -9,12 +9,17 @@
 namespace primrosecove {
 namespace {
 
+constexpr double kMsPerSecond = 1000;
+constexpr double kMinPeriodMs = 1000;
 // A limited upstream gets at least one request in this time, in response to
 // which it may withdraw its limit.
-constexpr Milliseconds kMaxProbeInterval{10'000};
+constexpr double kMaxPeriodMs = 10'000;
+constexpr double kMinLimit = kMsPerSecond / kMaxPeriodMs;
 // Above it, the requests of a period no longer fit the arithmetic.
 constexpr double kMaxLimit = 1e6;
-constexpr double kMsPerSecond = 1000;
+// With more than one request in a period, a router that owns one has longer to
+// get a request for it from its callers.
+constexpr double kMinRequestsInPeriod = 2;
 
 // Rank of a router for the requests that can't be divided evenly.
 uint64_t Rank(std::string_view upstream_id, int64_t period, uint64_t router) {
@@ -25,16 +30,20 @@
 
 }  // namespace
 
-int64_t RateLimitPeriodAt(int64_t unix_ms) {
-  return unix_ms / kRateLimitPeriod.count();
+Milliseconds RateLimitPeriodLength(double limit) {
+  double ms = kMinRequestsInPeriod * kMsPerSecond / std::max(limit, kMinLimit);
+  return Milliseconds(
+      static_cast<int64_t>(std::clamp(ms, kMinPeriodMs, kMaxPeriodMs)));
+}
+
+int64_t RateLimitPeriodAt(double limit, int64_t unix_ms) {
+  return unix_ms / RateLimitPeriodLength(limit).count();
 }
 
 int64_t RequestsInPeriod(double limit, int64_t period) {
-  double min_limit =
-      kMsPerSecond / static_cast<double>(kMaxProbeInterval.count());
-  double per_period = std::clamp(limit, min_limit, kMaxLimit) *
-                      static_cast<double>(kRateLimitPeriod.count()) /
-                      kMsPerSecond;
+  double per_period =
+      std::clamp(limit, kMinLimit, kMaxLimit) *
+      static_cast<double>(RateLimitPeriodLength(limit).count()) / kMsPerSecond;
   auto total_before = [per_period](int64_t n) {
     return static_cast<int64_t>(
         std::floor(static_cast<double>(n) * per_period));
@@ -68,11 +77,11 @@
 }
 
 Milliseconds TimeToNextRequest(double limit, int64_t unix_ms) {
-  int64_t period = RateLimitPeriodAt(unix_ms);
+  int64_t period = RateLimitPeriodAt(limit, unix_ms);
   do {
     ++period;
   } while (RequestsInPeriod(limit, period) == 0);
-  return Milliseconds(period * kRateLimitPeriod.count() - unix_ms);
+  return period * RateLimitPeriodLength(limit) - Milliseconds(unix_ms);
 }
 
 }  // namespace primrosecove
--- a/Source/Core/Fleet/rate_limit_share.h
+++ b/Source/Core/Fleet/rate_limit_share.h
@@ -1,8 +1,8 @@
 // Divides the rate limit of an upstream among routers without a coordinator.
-// Time is divided into periods of one second of the wall clock. All routers
-// that know the same sharers find the same division of a period's requests, so
-// their sum keeps the limit. A period's share lapses with it: a router that
-// restarts, or was suspended, has no requests left over from earlier.
+// The wall clock is divided into periods. All routers that know the same
+// sharers find the same division of a period's requests, so their sum keeps the
+// limit. A period's share lapses with it: a router that restarts, or was
+// suspended, has no requests left over from earlier.
 #pragma once
 
 #include <cstdint>
@@ -13,16 +13,16 @@
 
 namespace primrosecove {
 
-/// Length of a period.
-constexpr Milliseconds kRateLimitPeriod{1000};
+/// Returns the length of the periods under a limit in requests per second: one
+/// second or, if that has no two requests, the time of two. It is bounded, and
+/// so is the time between two requests, so that the end of a limit is noticed.
+/// All functions of this file are thread safe.
+Milliseconds RateLimitPeriodLength(double limit);
 
-/// Returns the number of the period at a Unix time in ms. All functions of this
-/// file are thread safe.
-int64_t RateLimitPeriodAt(int64_t unix_ms);
+/// Returns the number of the period at a Unix time in ms.
+int64_t RateLimitPeriodAt(double limit, int64_t unix_ms);
 
 /// Returns the requests that all routers together may send in a period.
-/// `limit` is in requests per second; limits below one request per
-/// kMaxProbeInterval count as that, so that the end of a limit is noticed.
 int64_t RequestsInPeriod(double limit, int64_t period);
 
 /// Returns how many of a period's requests router `self` may send. `sharers`
--- a/Source/Core/Fleet/upstream_rate_limits.cc
+++ b/Source/Core/Fleet/upstream_rate_limits.cc
@@ -10,15 +10,42 @@
 namespace {
 
 constexpr double kNoLimit = -1;  // In the log.
+// A router shares a limit while it had requests for the upstream within this
+// time.
+constexpr Milliseconds kDemandLifetime{3000};
+// Sharers that a relay has not listed for this long are dropped.
+constexpr Milliseconds kSharerListLifetime{2500};
+// The end of a limit is reported for this long, so that all routers learn it.
+constexpr Milliseconds kWithdrawalLifetime{5000};
+// A statement that comes back by way of a relay looks younger by the time that
+// the datagrams took.
+constexpr Milliseconds kMaxDatagramTime{100};
 
 }  // namespace
 
+RateLimitStatement ReadStatement(const RateLimitStatementEntry& entry,
+                                 MonotonicTime now) {
+  return {entry.upstream_id, entry.start_time_ms, entry.limit,
+          now - Milliseconds(entry.age_ms)};
+}
+
+RateLimitStatementEntry WriteStatement(const RateLimitStatement& statement,
+                                       MonotonicTime now) {
+  auto age = std::max(now - statement.made_at, Milliseconds(0));
+  return {statement.upstream_id, statement.start_time_ms, statement.limit,
+          static_cast<uint32_t>(age.count())};
+}
+
 bool RateLimitStatement::IsNewerThan(const RateLimitStatement& other) const {
   if (start_time_ms != other.start_time_ms)
     return start_time_ms > other.start_time_ms;
   return made_at > other.made_at;
 }
 
+bool RateLimitStatement::IsEchoOf(const RateLimitStatement& other) const {
+  return !Contradicts(other) && made_at <= other.made_at + kMaxDatagramTime;
+}
+
 void UpstreamRateLimits::OnResponse(const FleetUpstream& upstream,
                                     const ResponseFields& response,
                                     MonotonicTime request_sent_at,
@@ -44,10 +71,9 @@
   auto [it, is_new] = entries_.try_emplace(statement.upstream_id);
   RateLimitStatement& known = it->second.statement;
   if (!is_new && !statement.IsNewerThan(known)) return;
-  bool changed = is_new || known.limit != statement.limit ||
-                 known.start_time_ms != statement.start_time_ms;
-  if (changed) {
+  if (is_new || statement.Contradicts(known)) {
     ++counters_.changes;
+    has_news_ = true;
     PC_INFO(kMembership, "event=rate_limit id="
                              << statement.upstream_id
                              << " started=" << statement.start_time_ms
@@ -56,7 +82,9 @@
                              << " source=" << source << " age_ms="
                              << (now - statement.made_at).count());
   }
+  bool is_other_limit = statement.limit != known.limit;
   known = statement;
+  if (is_other_limit) UpdateShare(&it->second);
 }
 
 std::optional<double> UpstreamRateLimits::LimitOf(
@@ -69,10 +97,86 @@
   return known.limit;
 }
 
-int64_t UpstreamRateLimits::Share(const Entry& entry, int64_t period) const {
-  return EstimatedShareOfPeriod(*entry.statement.limit, period,
-                                entry.statement.upstream_id, router_id_,
-                                router_count_.value());
+std::vector<RateLimitReport> UpstreamRateLimits::MakeReports(
+    MonotonicTime now) {
+  has_news_ = false;
+  std::vector<RateLimitReport> out{{router_id_, {}}};
+  for (const auto& [id, entry] : entries_) {
+    if (out.back().entries.size() >= RateLimitReport::kMaxEntries)
+      out.push_back({router_id_, {}});
+    out.back().entries.push_back(
+        {WriteStatement(entry.statement, now),
+         now - entry.last_wanted_at <= kDemandLifetime});
+  }
+  return out;
+}
+
+void UpstreamRateLimits::OnSummary(const RateLimitSummary& summary,
+                                   const Endpoint& relay,
+                                   const UpstreamRegistry& registry,
+                                   MonotonicTime now) {
+  for (const RateLimitSummaryEntry& it : summary.entries) {
+    const std::string& id = it.statement.upstream_id;
+    if (!registry.all().contains(id)) continue;
+    RateLimitStatement statement = ReadStatement(it.statement, now);
+    auto known = entries_.find(id);
+    bool is_echo =
+        known != entries_.end() && statement.IsEchoOf(known->second.statement);
+    if (!is_echo) Record(statement, "report", now);
+    Entry& entry = entries_.at(id);
+    entry.sharer_lists[relay] = {it.sharers, it.is_truncated, now};
+    MergeSharers(&entry, now);
+  }
+}
+
+void UpstreamRateLimits::MergeSharers(Entry* entry, MonotonicTime now) const {
+  std::erase_if(entry->sharer_lists, [now](const auto& it) {
+    return now - it.second.received_at > kSharerListLifetime;
+  });
+  bool is_truncated = false;
+  std::vector<uint64_t> sharers;
+  for (const auto& [relay, list] : entry->sharer_lists) {
+    sharers.insert(sharers.end(), list.routers.begin(), list.routers.end());
+    is_truncated = is_truncated || list.is_truncated;
+  }
+  if (!is_truncated) sharers.push_back(router_id_);
+  std::sort(sharers.begin(), sharers.end());
+  sharers.erase(std::unique(sharers.begin(), sharers.end()), sharers.end());
+  if (sharers == entry->sharers) return;
+  entry->sharers = std::move(sharers);
+  UpdateShare(entry);
+}
+
+int64_t UpstreamRateLimits::ComputeShare(const Entry& entry,
+                                         int64_t period) const {
+  const RateLimitStatement& statement = entry.statement;
+  if (!entry.sharers.empty()) {
+    return ShareOfPeriod(*statement.limit, period, statement.upstream_id,
+                         router_id_, entry.sharers);
+  }
+  return EstimatedShareOfPeriod(*statement.limit, period, statement.upstream_id,
+                                router_id_, router_count_.value());
+}
+
+void UpstreamRateLimits::EnterPeriod(Entry* entry, int64_t unix_ms) const {
+  // The clock may be stepped back.
+  bool is_present =
+      unix_ms >= entry->period_start_ms && unix_ms < entry->period_end_ms;
+  if (is_present) return;
+  double limit = *entry->statement.limit;
+  int64_t length = RateLimitPeriodLength(limit).count();
+  int64_t period = RateLimitPeriodAt(limit, unix_ms);
+  entry->period_start_ms = period * length;
+  entry->period_end_ms = entry->period_start_ms + length;
+  entry->sent = 0;
+  entry->share = ComputeShare(*entry, period);
+}
+
+void UpstreamRateLimits::UpdateShare(Entry* entry) const {
+  if (!entry->statement.limit || entry->period_end_ms == 0) return;
+  int64_t period =
+      RateLimitPeriodAt(*entry->statement.limit, entry->period_start_ms);
+  entry->share = ComputeShare(*entry, period);
 }
 
 bool UpstreamRateLimits::MaySend(const FleetUpstream& upstream,
@@ -80,9 +184,8 @@
   if (!LimitOf(upstream)) return true;
   Entry& entry = entries_.at(upstream.record.id);
   entry.last_wanted_at = now;
-  int64_t period = RateLimitPeriodAt(unix_ms);
-  int64_t sent = entry.period == period ? entry.sent : 0;
-  if (sent < Share(entry, period)) return true;
+  EnterPeriod(&entry, unix_ms);
+  if (entry.sent < entry.share) return true;
   ++counters_.skips;
   ++entry.logged_skips;
   return false;
@@ -94,18 +197,16 @@
   ++counters_.sends;
   Entry& entry = entries_.at(upstream.record.id);
   ++entry.logged_sends;
-  int64_t period = RateLimitPeriodAt(unix_ms);
-  if (entry.period != period) entry.sent = 0;
-  entry.period = period;
+  EnterPeriod(&entry, unix_ms);
   ++entry.sent;
 }
 
 void UpstreamRateLimits::OnNotSent(const std::string& upstream_id,
                                    int64_t unix_ms) {
   auto it = entries_.find(upstream_id);
-  if (it == entries_.end()) return;
-  bool is_same_period = it->second.period == RateLimitPeriodAt(unix_ms);
-  if (is_same_period && it->second.sent > 0) --it->second.sent;
+  if (it == entries_.end() || !it->second.statement.limit) return;
+  EnterPeriod(&it->second, unix_ms);
+  if (it->second.sent > 0) --it->second.sent;
 }
 
 Milliseconds UpstreamRateLimits::TimeToNextRequest(
@@ -115,9 +216,13 @@
   return primrosecove::TimeToNextRequest(*limit, unix_ms);
 }
 
-void UpstreamRateLimits::Update(const UpstreamRegistry& registry) {
+void UpstreamRateLimits::Update(const UpstreamRegistry& registry,
+                                MonotonicTime now) {
   std::erase_if(entries_, [&](const auto& it) {
-    return !registry.all().contains(it.first);
+    const RateLimitStatement& statement = it.second.statement;
+    bool has_ended =
+        !statement.limit && now - statement.made_at > kWithdrawalLifetime;
+    return has_ended || !registry.all().contains(it.first);
   });
   for (auto& [id, entry] : entries_) {
     int sends = std::exchange(entry.logged_sends, 0);
@@ -127,6 +232,7 @@
             "event=rate_limit_use id="
                 << id << " limit=" << entry.statement.limit.value_or(kNoLimit)
                 << " sends=" << sends << " skips=" << skips
+                << " sharers=" << entry.sharers.size()
                 << " routers=" << router_count_.value());
   }
 }
--- a/Source/Core/Fleet/upstream_rate_limits.h
+++ b/Source/Core/Fleet/upstream_rate_limits.h
@@ -25,8 +25,20 @@
 
   /// Whether this statement replaces `other` of the same upstream.
   bool IsNewerThan(const RateLimitStatement& other) const;
+  /// Whether it may be `other`, returned by way of a relay.
+  bool IsEchoOf(const RateLimitStatement& other) const;
+  /// Whether it says something else than `other`.
+  bool Contradicts(const RateLimitStatement& other) const {
+    return limit != other.limit || start_time_ms != other.start_time_ms;
+  }
 };
 
+/// Convert between times of this process's clock and ages. Thread safe.
+RateLimitStatement ReadStatement(const RateLimitStatementEntry& entry,
+                                 MonotonicTime now);
+RateLimitStatementEntry WriteStatement(const RateLimitStatement& statement,
+                                       MonotonicTime now);
+
 /// Counters that the metrics endpoint exports.
 struct RateLimitCounters {
   uint64_t changes = 0;  ///< Of known limits, including their ends.
@@ -57,9 +69,17 @@
   void SetRouterCount(int routers, MonotonicTime now) {
     router_count_.Report(routers, now);
   }
-  /// Forgets upstreams that are not registered, and logs the use of limits
-  /// since the last call.
-  void Update(const UpstreamRegistry& registry);
+  /// Returns reports of the known limits, for the relays; one without entries
+  /// if none is known.
+  std::vector<RateLimitReport> MakeReports(MonotonicTime now);
+  /// Whether a limit has changed since the last report.
+  bool HasNews() const { return has_news_; }
+  /// Records a summary that the relay at this address sent.
+  void OnSummary(const RateLimitSummary& summary, const Endpoint& relay,
+                 const UpstreamRegistry& registry, MonotonicTime now);
+  /// Forgets upstreams that are not registered and limits that ended some time
+  /// ago, and logs the use of limits since the last call.
+  void Update(const UpstreamRegistry& registry, MonotonicTime now);
 
   /// Returns whether a request may be sent to an upstream now, and records that
   /// there is one.
@@ -81,10 +101,23 @@
   const RateLimitCounters& counters() const { return counters_; }
 
  private:
+  // The routers that share a limit, as one relay knows them.
+  struct SharerList {
+    std::vector<uint64_t> routers;
+    bool is_truncated = false;
+    MonotonicTime received_at{0};
+  };
   struct Entry {
     RateLimitStatement statement;
-    // Requests sent in the period.
-    int64_t period = -1;
+    std::map<Endpoint, SharerList> sharer_lists;  // By relay.
+    // Union of the lists, sorted; this router included unless it has no share.
+    // Empty until a list has arrived.
+    std::vector<uint64_t> sharers;
+    // The present period, from and to a Unix time in ms, and the requests that
+    // this router may send and has sent in it.
+    int64_t period_start_ms = 0;
+    int64_t period_end_ms = 0;
+    int64_t share = 0;
     int64_t sent = 0;
     MonotonicTime last_wanted_at{-1'000'000};
     // Since the last line in the log.
@@ -95,12 +128,18 @@
   // Records a statement if it is newer than the known one.
   void Record(const RateLimitStatement& statement, const char* source,
               MonotonicTime now);
-  int64_t Share(const Entry& entry, int64_t period) const;
+  // Begins the period of this time unless it is the present one.
+  void EnterPeriod(Entry* entry, int64_t unix_ms) const;
+  int64_t ComputeShare(const Entry& entry, int64_t period) const;
+  // Computes the share of the period again, but keeps the requests sent in it.
+  void UpdateShare(Entry* entry) const;
+  void MergeSharers(Entry* entry, MonotonicTime now) const;
 
   uint64_t router_id_;
   RouterCount router_count_;
   std::map<std::string, Entry> entries_;  // By upstream.
   RateLimitCounters counters_;
+  bool has_news_ = false;
 };
 
 }  // namespace primrosecove
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -23,12 +23,14 @@
 // Requests on a lost upstream are detected and retried at this interval.
 constexpr Milliseconds kRequestCheckPeriod{100};
 constexpr Milliseconds kLogFlushPeriod{100};
+// Interval at which the known rate limits are sent to the relays.
+constexpr Milliseconds kRateLimitReportPeriod{500};
 // Interval at which the use of rate limits is logged.
 constexpr Milliseconds kRateLimitLogPeriod{1000};
 constexpr Milliseconds kStopCheckPeriod{50};
-// Number of agents that keep and forward crash reports; more than one of them
-// may be down or unreachable.
-constexpr size_t kCrashRelays = 4;
+// Number of agents that keep and forward what routers report to each other;
+// more than one of them may be down or unreachable.
+constexpr size_t kRelays = 4;
 // Interval at which crash observations are compared with the agents'. A process
 // that restarted or lost reports lacks them for this long.
 constexpr Milliseconds kCrashDigestPeriod{1000};
@@ -268,8 +270,10 @@
       loop_->Every(kUpdatePeriod, [this] { SendDeploymentUpdates(); });
   crash_digest_timer_ =
       loop_->Every(kCrashDigestPeriod, [this] { SendCrashDigest(); });
-  rate_limit_timer_ = loop_->Every(kRateLimitLogPeriod, [this] {
-    state_.rate_limits.Update(state_.registry);
+  rate_limit_report_timer_ = loop_->Every(
+      kRateLimitReportPeriod, [this] { ReportRateLimits(state_.Now()); });
+  rate_limit_log_timer_ = loop_->Every(kRateLimitLogPeriod, [this] {
+    state_.rate_limits.Update(state_.registry, state_.Now());
   });
   request_check_timer_ =
       loop_->Every(kRequestCheckPeriod, [this] { CheckRequests(); });
@@ -385,6 +389,9 @@
   }
   if (const auto* report = std::get_if<LossReport>(&message.value()))
     return state_.crash_correlator.AddRemoteLosses(*report, now);
+  if (const auto* summary = std::get_if<RateLimitSummary>(&message.value())) {
+    return state_.rate_limits.OnSummary(*summary, from, state_.registry, now);
+  }
   if (const auto* digest = std::get_if<CrashDigest>(&message.value())) {
     for (const FleetMessage& it : AnswerCrashDigest(
              state_.crash_correlator.table(), *digest, now.count())) {
@@ -454,6 +461,7 @@
   MonotonicTime now = state_.Now();
   state_.registry.Expire(now);
   ReportCrashes(now);
+  if (state_.rate_limits.HasNews()) ReportRateLimits(now);
   std::vector<std::shared_ptr<FleetRequest>> all;
   all.reserve(state_.requests.size());
   for (auto& [key, request] : state_.requests) all.push_back(request);
@@ -473,35 +481,39 @@
   }
   for (const CrashReport& report :
        MakeCrashReports(observations, now.count())) {
-    SendToCrashRelays(report, now);
+    SendToRelays(report, now);
   }
   for (const LossReport& report : state_.crash_correlator.PopNewLosses(now))
-    SendToCrashRelays(report, now);
+    SendToRelays(report, now);
 }
 
-void FleetRouter::SendToCrashRelays(const FleetMessage& message,
-                                    MonotonicTime now) {
+void FleetRouter::SendToRelays(const FleetMessage& message, MonotonicTime now) {
   std::string datagram = EncodeMessage(message);
-  for (const Endpoint& it : CrashRelays(now)) peer_socket_->Send(datagram, it);
+  for (const Endpoint& it : Relays(now)) peer_socket_->Send(datagram, it);
+}
+
+void FleetRouter::ReportRateLimits(MonotonicTime now) {
+  for (const RateLimitReport& it : state_.rate_limits.MakeReports(now))
+    SendToRelays(it, now);
 }
 
 // The first agents in the order of their upstreams' ids, so that all routers
 // use the same ones.
-std::vector<Endpoint> FleetRouter::CrashRelays(MonotonicTime now) const {
+std::vector<Endpoint> FleetRouter::Relays(MonotonicTime now) const {
   std::vector<Endpoint> out;
   for (const auto& [id, upstream] : state_.registry.all()) {
     bool has_agent = upstream.status && now - upstream.status_received_at <
                                             UpstreamRegistry::kStatusLifetime;
     if (!has_agent) continue;
     out.push_back(PeerEndpoint(state_.settings, upstream.record.endpoint.ip));
-    if (out.size() == kCrashRelays) break;
+    if (out.size() == kRelays) break;
   }
   return out;
 }
 
 void FleetRouter::SendCrashDigest() {
   MonotonicTime now = state_.Now();
-  SendToCrashRelays(
+  SendToRelays(
       CrashDigest{state_.crash_correlator.table().Digest(now.count()), false},
       now);
 }
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -63,9 +63,10 @@
   std::vector<DeploymentUpdate> MakeDeploymentUpdates();
   void CheckRequests();
   void ReportCrashes(MonotonicTime now);
-  std::vector<Endpoint> CrashRelays(MonotonicTime now) const;
-  void SendToCrashRelays(const FleetMessage& message, MonotonicTime now);
+  std::vector<Endpoint> Relays(MonotonicTime now) const;
+  void SendToRelays(const FleetMessage& message, MonotonicTime now);
   void SendCrashDigest();
+  void ReportRateLimits(MonotonicTime now);
   void ReloadSettings();
   void CheckStop();
 
@@ -89,7 +90,8 @@
       0};  ///< Last time with unfinished responses while stopping.
   Timer update_timer_;
   Timer crash_digest_timer_;
-  Timer rate_limit_timer_;
+  Timer rate_limit_report_timer_;
+  Timer rate_limit_log_timer_;
   Timer request_check_timer_;
   Timer stop_check_timer_;
   Timer log_flush_timer_;
--- a/Source/UnitTests/Agent/fleet_agent_test.cc
+++ b/Source/UnitTests/Agent/fleet_agent_test.cc
@@ -263,6 +263,39 @@
     CHECK_FALSE(std::holds_alternative<LossReport>(it));
 }
 
+TEST_CASE("agents tell routers the rate limits that others report", "[burst]") {
+  FleetFixture fleet(94, 1, 1);
+  std::optional<RateLimitSummaryEntry> heard;
+  UdpSocket other(&fleet.loop, [&](std::string_view bytes, const Endpoint&) {
+    auto message = DecodeMessage(bytes);
+    if (!message) return;
+    const auto* summary = std::get_if<RateLimitSummary>(&message.value());
+    if (summary != nullptr) heard = summary->entries.at(0);
+  });
+  REQUIRE(other.Bind({fleet.EndpointOf(4).ip, kPeerPort}));
+  RateLimitReport report{7, {{{"e0", 5, 2.5, 100}, true}}};
+  Endpoint agent{fleet.EndpointOf(10).ip, kPeerPort};
+  // A datagram may be lost.
+  RunUntil(&fleet.loop, [&] {
+    fleet.Send(report);
+    other.Send(EncodeMessage(RateLimitReport{8, {}}), agent);
+    return heard.has_value();
+  });
+  CHECK(heard->statement.upstream_id == "e0");
+  CHECK(heard->statement.start_time_ms == 5);
+  CHECK(heard->statement.limit == 2.5);
+  CHECK(heard->sharers == std::vector<uint64_t>{7});
+  CHECK_FALSE(heard->is_truncated);
+  // The end of a limit is told as well.
+  report.entries[0].statement.limit.reset();
+  report.entries[0].statement.age_ms = 0;
+  RunUntil(&fleet.loop, [&] {
+    fleet.Send(report);
+    other.Send(EncodeMessage(RateLimitReport{8, {}}), agent);
+    return !heard->statement.limit;
+  });
+}
+
 TEST_CASE("malformed datagrams are dropped", "[burst]") {
   FleetFixture fleet(91, 1, 1);
   for (const char* bytes : {"", "n", "s\xff", "x123", "n\x91\x01"}) {
--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -653,6 +653,63 @@
     CHECK(fixture.SendAndWait("/stream/1").head->status == 200);
 }
 
+// Guards against routers that have not heard of an upstream's rate limit: only
+// the routers whose requests it answered are told.
+TEST_CASE("routers tell each other the rate limits of upstreams", "[fleet]") {
+  RouterFixture fixture(96);
+  fixture.engines["engine-1"]->Unregister();
+  RunUntil(&fixture.loop, [&] {
+    return !fixture.router->registry().all().contains("engine-1");
+  });
+  // The agent beside engine-0.
+  Endpoint agent = fixture.router->peer_endpoint();
+  agent.ip = fixture.EndpointAt(2).ip;
+  std::optional<RateLimitStatementEntry> reported;
+  UdpSocket peer(&fixture.loop, [&](std::string_view bytes, const Endpoint&) {
+    auto message = DecodeMessage(bytes);
+    if (!message) return;
+    const auto* report = std::get_if<RateLimitReport>(&message.value());
+    if (report != nullptr && !report->entries.empty())
+      reported = report->entries[0].statement;
+  });
+  REQUIRE(peer.Bind(agent));
+  UpstreamStatus status;
+  status.upstream = fixture.EndpointAt(2);
+  status.reachable = true;
+  status.served_version = 1;
+  auto send_status = [&] {
+    ++status.sequence;
+    peer.Send(EncodeMessage(status), fixture.router->peer_endpoint());
+  };
+  // This router learns of the limit.
+  fixture.engines["engine-0"]->SetRateLimit("1000");
+  REQUIRE(fixture.SendAndWait("/stream/1").head->status == 200);
+  RunUntil(&fixture.loop, [&] {
+    send_status();
+    return reported.has_value();
+  });
+  CHECK(reported->upstream_id == "engine-0");
+  CHECK(reported->limit == 1000);
+  // Another router has learned of a new one, and other routers share it.
+  RateLimitSummaryEntry entry;
+  entry.statement = *reported;
+  entry.statement.limit = 2;
+  entry.statement.age_ms = 0;
+  entry.sharers = {1, 2, 3};
+  entry.is_truncated = true;
+  RunUntil(&fixture.loop, [&] {
+    send_status();
+    peer.Send(EncodeMessage(RateLimitSummary{{entry}}),
+              fixture.router->peer_endpoint());
+    return reported->limit == 2;
+  });
+  int before = fixture.engines["engine-0"]->arrivals();
+  CallResult result = fixture.SendAndWait("/stream/1");
+  CHECK(result.head->status == 503);
+  CHECK(result.head->headers.Find("Retry-After"));
+  CHECK(fixture.engines["engine-0"]->arrivals() == before);
+}
+
 TEST_CASE("a request misdirected by a stale registration is not executed",
           "[fleet]") {
   RouterFixture fixture(80);
