Count a request once in the retry budget if its connections fail

The new test failed before, '2 == 1' requests; a counter of the requests sent without retries joins the metrics.

--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -352,7 +352,10 @@
                                               << " upstream=" << upstream_id_
                                               << " alone=" << sent_as_suspect_);
   }
-  if (attempts_ == 1) state_->RetryBudgetFor(service_->name).OnRequest(now);
+  if (!std::exchange(is_counted_, true)) {
+    ++state_->counters.sent;
+    state_->RetryBudgetFor(service_->name).OnRequest(now);
+  }
   call_ = state_->client->Send(upstream->record.endpoint, request, options,
                                std::move(events));
   PC_DEBUG(kRouter, "event=request_sent id=" << fields_.request_id
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -112,6 +112,7 @@
   bool sent_as_suspect_ = false;     // No other suspect was there.
   int attempts_ = 0;                 // Without those that failed to connect.
   int failed_connections_ = 0;       // Attempts that failed to connect.
+  bool is_counted_ = false;          // By the retry budget.
   ExecutionState execution_state_ = ExecutionState::kNotSent;
 
   bool streaming_ = false;     // The current response is an event stream.
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -118,6 +118,8 @@
       {"requests_total", "Requests that arrived", &FleetCounters::requests},
       {"answered_total", "Requests answered by an upstream",
        &FleetCounters::responded},
+      {"sent_total", "Requests sent to an upstream, without retries",
+       &FleetCounters::sent},
       {"refused_total", "Requests refused as not run", &FleetCounters::refused},
       {"denied_total", "Requests without a route or key",
        &FleetCounters::denied},
--- a/Source/Core/Router/fleet_state.h
+++ b/Source/Core/Router/fleet_state.h
@@ -28,6 +28,7 @@
 struct FleetCounters {
   uint64_t requests = 0;
   uint64_t responded = 0;
+  uint64_t sent = 0;  ///< Requests sent to an upstream, without retries.
   uint64_t refused = 0;
   uint64_t denied = 0;
   uint64_t failed = 0;
--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -710,6 +710,31 @@
   CHECK(fixture.engines["engine-0"]->arrivals() == before);
 }
 
+// Guards against a retry budget that grows with failed connections: such an
+// attempt is repeated without counting as a retry.
+TEST_CASE("a request whose connection failed counts once in the retry budget",
+          "[fleet]") {
+  RouterFixture fixture(97);
+  fixture.engines["plain-0"]->Unregister();
+  fixture.engines["plain-1"]->Unregister();
+  // Nothing listens at these addresses.
+  for (int i = 0; i < 2; ++i) {
+    nlohmann::json entry = {{"service", "desk"},
+                            {"address", fixture.EndpointAt(30 + i).ToString()},
+                            {"zone", "z1"},
+                            {"slots", 4},
+                            {"state", "ready"}};
+    fixture.store.Put("servers/absent-" + std::to_string(i), entry.dump());
+  }
+  RunUntil(&fixture.loop, [&] {
+    auto& all = fixture.router->registry().all();
+    return all.contains("absent-1") && !all.contains("plain-1");
+  });
+  CHECK(fixture.SendAndWait("/safe/1").head->status == 503);
+  CHECK(fixture.router->counters().sent == 1);
+  CHECK(fixture.router->counters().retries == 0);
+}
+
 TEST_CASE("a request misdirected by a stale registration is not executed",
           "[fleet]") {
   RouterFixture fixture(80);
