--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -35,6 +35,10 @@
   // Whether any attempt may have executed the request.
   enum class ExecutionState { kNotSent, kRefused, kMayHaveExecuted };
 
+  // Retry-After of refusals where another router may accept the request
+  // immediately, such as those for a stale configuration.
+  static constexpr Milliseconds kRetryElsewhereDelay{200};
+
   bool ResolveRoute();
   bool Authenticate();
   // Refuses a request that has crashed upstreams and marks one that is
@@ -47,6 +51,8 @@
   void RecordLossIfSilent();
   void ReleaseSuspect();
   Placement ChoosePlacement(MonotonicTime now);
+  // Mean service time of the request's service, measured or assumed.
+  Milliseconds MeanServiceTime() const;
   Milliseconds EstimateServiceTime(Milliseconds mean) const;
   void Dispatch();
   std::vector<FleetUpstream*> FindCandidates(MonotonicTime now);
--- /dev/null
+++ b/Source/Core/Router/fleet_router_metrics.cc
@@ -0,0 +1,131 @@
+// The metrics of a FleetRouter.
+#include <string>
+
+#include "Core/Router/fleet_router.h"
+
+namespace primrosecove {
+
+void FleetRouter::AddMetrics() {
+  struct Row {
+    const char* name;
+    const char* help;
+    uint64_t FleetCounters::*member;
+  };
+  static constexpr Row kRows[] = {
+      {"requests_total", "Requests that arrived", &FleetCounters::requests},
+      {"answered_total", "Requests answered by an upstream",
+       &FleetCounters::responded},
+      {"sent_total", "Requests sent to an upstream, without retries",
+       &FleetCounters::sent},
+      {"refused_total", "Requests refused as not run", &FleetCounters::refused},
+      {"denied_total", "Requests without a route or key",
+       &FleetCounters::denied},
+      {"failed_total", "Requests whose outcome is unknown",
+       &FleetCounters::failed},
+      {"broken_off_total", "Streams that were broken off",
+       &FleetCounters::aborted},
+      {"callers_gone_total", "Callers that left before their answer",
+       &FleetCounters::caller_disconnects},
+      {"repeats_total", "Requests sent once more", &FleetCounters::retries},
+      {"resumed_total", "Streams that went on elsewhere",
+       &FleetCounters::resumed_streams},
+      {"crash_sightings_total", "Requests that were running at a crash",
+       &FleetCounters::crash_observations},
+      {"suspects_sent_total", "Suspects of a crash sent to an upstream",
+       &FleetCounters::suspects_sent},
+      {"suspects_refused_total",
+       "Requests refused because they crash upstreams",
+       &FleetCounters::suspects_refused},
+  };
+  for (const Row& row : kRows) {
+    metrics_.AddCounter(
+        std::string("primrosecove_router_") + row.name, row.help, {},
+        [this, row] {
+          return static_cast<double>(state_.counters.*row.member);
+        });
+  }
+  AddCrashMetrics();
+  AddRateLimitMetrics();
+  metrics_.AddGauge(
+      "primrosecove_router_config_version",
+      "Version of the configuration in force", {}, [this] {
+        return state_.routes == nullptr
+                   ? 0.0
+                   : static_cast<double>(state_.routes->config().version);
+      });
+  metrics_.AddGauge(
+      "primrosecove_router_config_age_seconds",
+      "Time since the store last proved that configuration the newest", {},
+      [this] {
+        auto age = state_.freshness.Age(BootNow());
+        return age ? static_cast<double>(age->count()) / 1000 : -1.0;
+      });
+  state_.response_seconds =
+      metrics_.AddHistogram("primrosecove_router_answer_seconds",
+                            "From a request's arrival to its end");
+  state_.first_event_seconds =
+      metrics_.AddHistogram("primrosecove_router_first_event_seconds",
+                            "From a request's arrival to its first event");
+}
+
+void FleetRouter::AddCrashMetrics() {
+  struct Row {
+    const char* name;
+    const char* help;
+    uint64_t CrashCounters::*member;
+  };
+  static constexpr Row kRows[] = {
+      {"upstream_crashes_total", "Detected crashes of upstreams",
+       &CrashCounters::crashes},
+      {"lost_connections_total", "Attempts that ended without a response",
+       &CrashCounters::lost_connections},
+      {"uncorrelated_losses_total", "Lost connections without a known crash",
+       &CrashCounters::uncorrelated_losses},
+      {"reported_losses_total", "Lost attempts that other routers reported",
+       &CrashCounters::reported_losses},
+      {"repeated_crash_observations_total", "Observations known already",
+       &CrashCounters::repeated_observations},
+  };
+  for (const Row& row : kRows) {
+    metrics_.AddCounter(std::string("primrosecove_router_") + row.name,
+                        row.help, {}, [this, row] {
+                          return static_cast<double>(
+                              state_.crash_correlator.counters().*row.member);
+                        });
+  }
+  metrics_.AddGauge(
+      "primrosecove_router_crash_observations",
+      "Crash observations known to this router", {}, [this] {
+        return static_cast<double>(state_.crash_correlator.table().size());
+      });
+}
+
+void FleetRouter::AddRateLimitMetrics() {
+  struct Row {
+    const char* name;
+    const char* help;
+    uint64_t RateLimitCounters::*member;
+  };
+  static constexpr Row kRows[] = {
+      {"rate_limit_changes_total", "Changes of upstreams' rate limits",
+       &RateLimitCounters::changes},
+      {"rate_limited_sends_total", "Requests sent to rate-limited upstreams",
+       &RateLimitCounters::sends},
+      {"rate_limit_skips_total",
+       "Choices that left out an upstream at its rate limit",
+       &RateLimitCounters::skips},
+  };
+  for (const Row& row : kRows) {
+    metrics_.AddCounter(
+        std::string("primrosecove_router_") + row.name, row.help, {},
+        [this, row] {
+          return static_cast<double>(state_.rate_limits.counters().*row.member);
+        });
+  }
+  metrics_.AddGauge("primrosecove_router_rate_limited_upstreams",
+                    "Upstreams with a rate limit", {}, [this] {
+                      return static_cast<double>(state_.rate_limits.size());
+                    });
+}
+
+}  // namespace primrosecove
