--- a/Source/Core/Fleet/upstream_rate_limits.cc
+++ b/Source/Core/Fleet/upstream_rate_limits.cc
@@ -191,6 +191,19 @@
   return false;
 }
 
+std::optional<Milliseconds> UpstreamRateLimits::RemoveLimited(
+    std::vector<FleetUpstream*>* candidates, MonotonicTime now,
+    int64_t unix_ms) {
+  std::optional<Milliseconds> out;
+  std::erase_if(*candidates, [&](const FleetUpstream* it) {
+    if (MaySend(*it, now, unix_ms)) return false;
+    Milliseconds time = TimeToNextRequest(*LimitOf(*it), unix_ms);
+    out = std::min(out.value_or(time), time);
+    return true;
+  });
+  return out;
+}
+
 void UpstreamRateLimits::OnSent(const FleetUpstream& upstream,
                                 int64_t unix_ms) {
   if (!LimitOf(upstream)) return;
@@ -209,13 +222,6 @@
   if (it->second.sent > 0) --it->second.sent;
 }
 
-Milliseconds UpstreamRateLimits::TimeToNextRequest(
-    const FleetUpstream& upstream, int64_t unix_ms) const {
-  auto limit = LimitOf(upstream);
-  if (!limit) return Milliseconds(0);
-  return primrosecove::TimeToNextRequest(*limit, unix_ms);
-}
-
 void UpstreamRateLimits::Update(const UpstreamRegistry& registry,
                                 MonotonicTime now) {
   std::erase_if(entries_, [&](const auto& it) {
--- a/Source/Core/Fleet/upstream_rate_limits.h
+++ b/Source/Core/Fleet/upstream_rate_limits.h
@@ -85,14 +85,16 @@
   /// there is one.
   bool MaySend(const FleetUpstream& upstream, MonotonicTime now,
                int64_t unix_ms);
+  /// Removes the upstreams that may get no request now. Returns the time to the
+  /// next request that any router may send to one of them, or nothing if none
+  /// was removed.
+  std::optional<Milliseconds> RemoveLimited(
+      std::vector<FleetUpstream*>* candidates, MonotonicTime now,
+      int64_t unix_ms);
   /// Counts a request that is sent to an upstream. Precondition: MaySend.
   void OnSent(const FleetUpstream& upstream, int64_t unix_ms);
   /// Takes back a request that did not reach the upstream.
   void OnNotSent(const std::string& upstream_id, int64_t unix_ms);
-  /// Returns the time to the next request that any router may send to an
-  /// upstream.
-  Milliseconds TimeToNextRequest(const FleetUpstream& upstream,
-                                 int64_t unix_ms) const;
 
   /// Returns the limit of an upstream's present process, if it has one.
   std::optional<double> LimitOf(const FleetUpstream& upstream) const;
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -56,10 +56,6 @@
   Milliseconds EstimateServiceTime(Milliseconds mean) const;
   void Dispatch();
   std::vector<FleetUpstream*> FindCandidates(MonotonicTime now);
-  // Removes the upstreams that may get no request now. Returns the time until
-  // one of them may, or nothing if none was removed.
-  std::optional<Milliseconds> RemoveRateLimited(
-      std::vector<FleetUpstream*>* candidates, MonotonicTime now);
   void StartAttempt(const Placement& placement);
   void OnHead(const Http1Head& head);
   void OnData(std::string_view bytes);
--- a/Source/Core/Router/fleet_request_placement.cc
+++ b/Source/Core/Router/fleet_request_placement.cc
@@ -40,23 +40,11 @@
   return without_suspects.empty() ? out : without_suspects;
 }
 
-std::optional<Milliseconds> FleetRequest::RemoveRateLimited(
-    std::vector<FleetUpstream*>* candidates, MonotonicTime now) {
-  int64_t unix_ms = WallClockMs();
-  std::optional<Milliseconds> out;
-  std::erase_if(*candidates, [&](const FleetUpstream* it) {
-    if (state_->rate_limits.MaySend(*it, now, unix_ms)) return false;
-    auto time = state_->rate_limits.TimeToNextRequest(*it, unix_ms);
-    out = std::min(out.value_or(time), time);
-    return true;
-  });
-  return out;
-}
-
 Placement FleetRequest::ChoosePlacement(MonotonicTime now) {
   auto candidates = FindCandidates(now);
   size_t all = candidates.size();
-  auto time_to_request = RemoveRateLimited(&candidates, now);
+  auto time_to_request =
+      state_->rate_limits.RemoveLimited(&candidates, now, WallClockMs());
   PlacementRequest request;
   request.route = route_;
   request.service = service_;
--- a/Source/Emulator/fleet_model.cc
+++ b/Source/Emulator/fleet_model.cc
@@ -23,6 +23,9 @@
 constexpr double kServiceTimeSmoothing = 0.05;
 constexpr double kInitialServiceTimeMs = 2000;
 constexpr int kPercent = 100;
+constexpr double kRateLimitReportMs = 500;
+// From the first response with a rate limit to the arrivals that are judged.
+constexpr double kContactMs = 3000;
 // Routers stop placing requests on older weights about this long before the
 // version bound.
 constexpr double kRouterVersionMarginMs = 1100;
@@ -40,12 +43,16 @@
   double target_set_at = 0;
   bool copy_complete = false;
   double reload_position = 0;  // reload slot, 0..1
+  std::optional<double> rate_limit;
+  double limit_stated_at = -1;  // first response with the limit
+  std::vector<double> limited_arrivals;
   std::unique_ptr<EmulatedEngine> model;
 };
 
 struct FleetModel::Router {
   std::string zone;
   UpstreamRegistry registry;
+  UpstreamRateLimits rate_limits;
   std::unique_ptr<PlacementPolicy> policy;
   double mean_service_time_ms = kInitialServiceTimeMs;
 };
@@ -96,6 +103,7 @@
   for (int i = 0; i < zone.routers; ++i) {
     auto router = std::make_unique<Router>();
     router->zone = zone.name;
+    router->rate_limits = UpstreamRateLimits(routers_.size() + 1);
     router->policy = MakePlacementPolicy(policy_);
     routers_.push_back(std::move(router));
   }
@@ -162,6 +170,49 @@
                        [this] { SendStatuses(); });
 }
 
+// One relay stands for all of them.
+void FleetModel::ReportRateLimits() {
+  for (auto& sender : routers_) {
+    for (const auto& report : sender->rate_limits.MakeReports(Now())) {
+      auto answer = relay_.OnReport(report, Now().count());
+      for (auto& router : routers_) {
+        const auto& summaries =
+            router == sender ? answer.to_sender : answer.to_others;
+        for (const auto& it : summaries) {
+          router->rate_limits.OnSummary(it, Endpoint{"relay", 1},
+                                        router->registry, Now());
+        }
+      }
+    }
+    sender->rate_limits.Update(sender->registry, Now());
+  }
+  queue_.ScheduleAfter(kRateLimitReportMs, [this] { ReportRateLimits(); });
+}
+
+void FleetModel::OnResponse(Router* router, const Engine& engine,
+                            double sent_at) {
+  const FleetUpstream* upstream = router->registry.Find(engine.id);
+  if (upstream == nullptr) return;
+  ResponseFields response;
+  response.is_signed = true;
+  response.rate_limit = engine.rate_limit;
+  router->rate_limits.OnResponse(
+      *upstream, response, Milliseconds(static_cast<int64_t>(sent_at)), Now());
+}
+
+size_t FleetModel::MaxRateLimitedArrivals(Milliseconds window) const {
+  size_t out = 0;
+  for (const auto& engine : engines_) {
+    const auto& arrivals = engine->limited_arrivals;
+    for (size_t from = 0, to = 0; from < arrivals.size(); ++from) {
+      double end = arrivals[from] + static_cast<double>(window.count());
+      while (to < arrivals.size() && arrivals[to] <= end) ++to;
+      out = std::max(out, to - from);
+    }
+  }
+  return out;
+}
+
 double FleetModel::DelayMs(const std::string& from_zone,
                            const std::string& to_zone) const {
   if (from_zone == to_zone) return 0;
@@ -217,6 +268,10 @@
       for (size_t it : affected)
         engines_[it]->model->SetSlowdown(incident.factor);
       break;
+    case Kind::kRateLimit:
+      affected = SampleEngines(incident.share);
+      for (size_t it : affected) engines_[it]->rate_limit = incident.factor;
+      break;
     case Kind::kDrain:
       for (size_t it : SampleEngines(incident.share)) {
         engines_[it]->leaving = true;
@@ -234,6 +289,7 @@
                              const std::vector<size_t>& engines) {
   for (size_t it : engines) {
     engines_[it]->model->SetSlowdown(1);
+    engines_[it]->rate_limit.reset();
     if (incident.kind != Incident::Kind::kCrash) continue;
     // A restarted engine has no weights loaded, only its staged copy.
     engines_[it]->model->Restart(0);
@@ -310,6 +366,7 @@
   out.reserve(arrivals.size());
   outcomes_ = &out;
   SendStatuses();
+  ReportRateLimits();
   for (const Arrival& it : arrivals) {
     auto call = std::make_shared<Call>();
     call->outcome.arrival = it;
@@ -372,6 +429,8 @@
            std::find(call->attempted_ids.begin(), call->attempted_ids.end(),
                      it->record.id) != call->attempted_ids.end();
   });
+  auto time_to_request =
+      router.rate_limits.RemoveLimited(&candidates, now, UnixMs());
   const Arrival& arrival = call->outcome.arrival;
   PlacementRequest request;
   request.route = &routes_[arrival.request_class];
@@ -389,6 +448,8 @@
       Milliseconds(static_cast<int64_t>(queue_.now() - arrival.at_ms));
   Placement placement = router.policy->Choose(candidates, request, now);
   if (placement.upstream != nullptr) return Send(call, placement.upstream);
+  if (candidates.empty() && time_to_request)
+    placement.retry_after = *time_to_request;
   double random_value = std::uniform_real_distribution<double>(0, 1)(random_);
   HandleRefusal(call, ComputeRetryAfter(placement.retry_after, random_value));
 }
@@ -400,6 +461,7 @@
   call->attempted_ids.push_back(id);
   ++call->send_count;
   router.registry.OnSent(id, Now());
+  router.rate_limits.OnSent(*upstream, UnixMs());
   auto found = std::find_if(engines_.begin(), engines_.end(),
                             [&id](const auto& it) { return it->id == id; });
   Engine* engine = found->get();
@@ -408,12 +470,24 @@
   double delay = DelayMs(router.zone, engine->zone);
   queue_.ScheduleAfter(delay, [this, call, engine, delay] {
     if (call->ended) return;
+    bool is_judged = engine->rate_limit && engine->limit_stated_at >= 0 &&
+                     queue_.now() - engine->limit_stated_at > kContactMs;
+    if (is_judged) engine->limited_arrivals.push_back(queue_.now());
     const Arrival& arrival = call->outcome.arrival;
     EngineJob job{arrival.id, arrival.prompt_tokens,
                   arrival.events * scenario_->tokens_per_event};
     EngineJobCallbacks callbacks;
     double response_delay = delay + scenario_->caller_delay_ms;
-    callbacks.on_tokens = [this, call, response_delay](bool last) {
+    callbacks.on_tokens = [this, call, engine, delay,
+                           response_delay](bool last) {
+      if (call->generated++ == 0) {
+        if (engine->rate_limit && engine->limit_stated_at < 0)
+          engine->limit_stated_at = queue_.now();
+        queue_.ScheduleAfter(delay, [this, router = call->router, engine,
+                                     sent_at = call->sent_at] {
+          OnResponse(router, *engine, sent_at);
+        });
+      }
       queue_.ScheduleAfter(response_delay,
                            [this, call, last] { OnTokens(call, last); });
     };
--- a/Source/Emulator/fleet_model.h
+++ b/Source/Emulator/fleet_model.h
@@ -14,6 +14,7 @@
 #include "Core/Fleet/placement_policy.h"
 #include "Core/Fleet/reload_schedule.h"
 #include "Core/Fleet/upstream_registry.h"
+#include "Core/Membership/rate_limit_relay.h"
 #include "Emulator/emulated_engine.h"
 #include "Emulator/event_queue.h"
 #include "Emulator/scenario.h"
@@ -51,6 +52,9 @@
   std::vector<CallerOutcome> Run(std::span<const Arrival> arrivals);
   /// Busy over available engine time; valid after Run().
   double Utilization() const;
+  /// Returns the most requests that arrived at one engine within `window` while
+  /// it had a rate limit, from some time after its first response with it.
+  size_t MaxRateLimitedArrivals(Milliseconds window) const;
 
  private:
   struct Engine;
@@ -61,6 +65,8 @@
   void AddRouters(const EmulatedZone& zone);
   void Register(const Engine& engine, bool removed);
   void SendStatuses();
+  void ReportRateLimits();
+  void OnResponse(Router* router, const Engine& engine, double sent_at);
   void ScheduleIncident(const Incident& incident);
   void StartIncident(const Incident& incident);
   void EndIncident(const Incident& incident,
@@ -83,6 +89,10 @@
   void ReleaseEngine(Call* call);
   double DelayMs(const std::string& from_zone,
                  const std::string& to_zone) const;
+  int64_t UnixMs() const {
+    constexpr int64_t kStartMs = 1'800'000'000'000;
+    return kStartMs + Now().count();
+  }
   Milliseconds Now() const {
     return Milliseconds(static_cast<int64_t>(queue_.now()));
   }
@@ -96,6 +106,7 @@
   std::vector<Route> routes_;
   std::vector<std::unique_ptr<Engine>> engines_;
   std::vector<std::unique_ptr<Router>> routers_;
+  RateLimitRelay relay_;
   std::vector<CallerOutcome>* outcomes_ = nullptr;
   uint64_t target_version_ = 1;
   uint64_t minimum_version_ = 1;
--- a/Source/Emulator/scenario.cc
+++ b/Source/Emulator/scenario.cc
@@ -16,7 +16,8 @@
 
 const std::vector<std::string_view>& IncidentNames() {
   static const std::vector<std::string_view> kNames = {
-      "burst", "shift", "leave", "crash", "slow", "join", "version", "drain"};
+      "burst", "shift",   "leave", "crash", "slow",
+      "join",  "version", "drain", "limit"};
   return kNames;
 }
 
--- a/Source/Emulator/scenario.h
+++ b/Source/Emulator/scenario.h
@@ -59,6 +59,7 @@
     kJoin,        ///< `share` more engines start, without weights.
     kNewVersion,  ///< The target version increases; engines copy and reload.
     kDrain,       ///< `share` of the engines drain permanently.
+    kRateLimit,   ///< `share` of the engines take `factor` requests/s.
   };
   Kind kind = Kind::kBurst;
   double at_s = 0;
--- a/Source/UnitTests/Emulator/emulator_test.cc
+++ b/Source/UnitTests/Emulator/emulator_test.cc
@@ -1,5 +1,6 @@
 // Tests of the emulator: the engine's cost model, reproducible runs, the
 // utility bound, and the placement policy under overload.
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "Emulator/experiment.h"
@@ -72,6 +73,43 @@
   return Summarize(scenario, model.Run(arrivals));
 }
 
+// The load of callers that press on engines which take few requests.
+TEST_CASE("emulated routers keep the rate limits of engines and use the others",
+          "[emulator]") {
+  struct Row {
+    const char* name;
+    double share;  // Of the engines.
+    double limit;
+    double load;
+    double min_served;  // Share of the requests.
+  };
+  const Row rows[] = {
+      {"one of six engines", 0.16, 1, 0.6, 0.95},
+      {"half of the engines", 0.5, 1, 0.4, 0.8},
+      {"all engines", 1, 2, 0.4, 0},
+      {"a high limit", 0.5, 20, 0.8, 0.7},
+  };
+  for (const Row& row : rows) {
+    for (uint64_t seed : {1, 2, 3}) {
+      INFO(row.name << ", seed " << seed);
+      Scenario scenario = MakeScenario(row.load);
+      scenario.incidents = {
+          {Incident::Kind::kRateLimit, 4, 14, row.share, row.limit, ""}};
+      std::vector<Arrival> arrivals = GenerateTraffic(scenario, seed);
+      FleetModel model(&scenario, "expected-wait", seed);
+      auto outcomes = model.Run(arrivals);
+      CHECK(static_cast<double>(model.MaxRateLimitedArrivals(
+                Milliseconds(4000))) <= 1.5 * row.limit * 4 + 5);
+      auto served = std::count_if(
+          outcomes.begin(), outcomes.end(), [](const CallerOutcome& it) {
+            return it.end == CallerOutcome::End::kServed;
+          });
+      CHECK(static_cast<double>(served) >=
+            row.min_served * static_cast<double>(outcomes.size()));
+    }
+  }
+}
+
 TEST_CASE("An emulated engine follows its cost model for prefill and decode",
           "[emulator]") {
   EventQueue queue;
