Detect replaced upstreams without start times as well

Change: without both start times, the registration that was seen earlier is of the earlier process, unless one read of the store may have returned both. A late write of a process that has ended is ignored; a process that goes on writing is alive and returns, so that a registration of another writer can't displace it for long. The simulation repeats its six scenarios without start times.

--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -18,6 +18,13 @@
 // for probes. A single failure may be caused by the request.
 constexpr int kFailuresToEject = 3;
 constexpr Milliseconds kEjectionTime{1500};
+// Registrations without a start time are in the order in which they are seen,
+// unless one read of the store may have returned both.
+constexpr Milliseconds kMaxReadTime{300};
+// The store may execute a write of a process that has ended some seconds later.
+// A process that goes on writing is alive, whatever else has its address.
+constexpr Milliseconds kMaxWriteDelay{10'000};
+constexpr int kWritesOfLiveProcess = 3;
 
 const LoadedWeights* FullyLoadedWeights(const UpstreamRecord& record,
                                         const std::string& model) {
@@ -52,8 +59,12 @@
   auto it = upstreams_.find(change.id);
   if (change.record) {
     bool is_new = it == upstreams_.end();
-    if (is_new) RemoveReplaced(*change.record);
+    if (is_new) {
+      if (IsLateWrite(*change.record, now)) return;
+      RemoveReplaced(*change.record, now);
+    }
     FleetUpstream& upstream = upstreams_[change.id];
+    if (is_new) upstream.registered_at = now;
     bool restarted = !is_new && upstream.record.start_time_ms !=
                                     change.record->start_time_ms;
     bool changed = is_new || restarted ||
@@ -100,16 +111,33 @@
   }
 }
 
-void UpstreamRegistry::RemoveReplaced(const UpstreamRecord& record) {
+void UpstreamRegistry::RemoveReplaced(const UpstreamRecord& record,
+                                      MonotonicTime now) {
   std::erase_if(upstreams_, [&](const auto& it) {
     const UpstreamRecord& other = it.second.record;
-    bool is_replaced = other.endpoint == record.endpoint &&
-                       other.start_time_ms != 0 &&
-                       other.start_time_ms < record.start_time_ms;
-    if (is_replaced && !other.leaving)
-      RecordCrash(it.second, CrashEvidence::kReplaced);
-    return is_replaced;
+    if (other.endpoint != record.endpoint) return false;
+    bool has_start_times =
+        other.start_time_ms != 0 && record.start_time_ms != 0;
+    bool is_replaced = has_start_times
+                           ? other.start_time_ms < record.start_time_ms
+                           : now - it.second.registered_at > kMaxReadTime;
+    if (!is_replaced) return false;
+    if (!other.leaving) RecordCrash(it.second, CrashEvidence::kReplaced);
+    replaced_[it.first] = {now, 0};
+    return true;
+  });
+}
+
+bool UpstreamRegistry::IsLateWrite(const UpstreamRecord& record,
+                                   MonotonicTime now) {
+  std::erase_if(replaced_, [now](const auto& it) {
+    return now - it.second.at > kMaxWriteDelay;
   });
+  auto it = replaced_.find(record.id);
+  if (it == replaced_.end()) return false;
+  if (++it->second.writes < kWritesOfLiveProcess) return true;
+  replaced_.erase(it);
+  return false;
 }
 
 void UpstreamRegistry::RecordStatus(const UpstreamStatus& status,
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -20,6 +20,7 @@
 /// One upstream as a router sees it.
 struct FleetUpstream {
   UpstreamRecord record;
+  MonotonicTime registered_at{0};  ///< When its registration was first seen.
   /// The time at which the upstream is removed. Set if its registration ended
   /// while the store was unreachable.
   std::optional<MonotonicTime> registration_expires_at;
@@ -123,11 +124,20 @@
 
  private:
   void RecordCrash(const FleetUpstream& upstream, CrashEvidence evidence);
+  // An upstream whose address another process has taken.
+  struct ReplacedUpstream {
+    MonotonicTime at{0};
+    int writes = 0;  // Of its registration since.
+  };
+
   // Removes the upstreams whose process must have ended because that of
-  // `record` started later at the same address.
-  void RemoveReplaced(const UpstreamRecord& record);
+  // `record`, which has just been seen, started later at the same address.
+  void RemoveReplaced(const UpstreamRecord& record, MonotonicTime now);
+  // Returns whether a registration is a late write of a replaced process.
+  bool IsLateWrite(const UpstreamRecord& record, MonotonicTime now);
 
   std::map<std::string, FleetUpstream> upstreams_;
+  std::map<std::string, ReplacedUpstream> replaced_;
   std::vector<UpstreamCrash> crashes_;
 };
 
--- a/Source/UnitTests/Fleet/upstream_registry_test.cc
+++ b/Source/UnitTests/Fleet/upstream_registry_test.cc
@@ -57,6 +57,32 @@
   CHECK(registry.Usable("s", MonotonicTime(9000)).size() == 1);
 }
 
+TEST_CASE("registrations that one read returns do not replace each other") {
+  UpstreamRegistry registry;
+  registry.Apply(Registered("a"), MonotonicTime(-9000), MonotonicTime(0));
+  registry.Apply(Registered("b"), MonotonicTime(-9000), MonotonicTime(50));
+  CHECK(registry.all().size() == 2);
+  CHECK(registry.PopCrashes().empty());
+}
+
+// Guards against using a process that has ended, because a late write returns
+// its registration, and against losing one that lives, because another writer
+// has registered its address.
+TEST_CASE("a replaced upstream returns only if it goes on registering") {
+  UpstreamRegistry registry;
+  registry.Apply(Registered("a"), MonotonicTime(-9000), MonotonicTime(0));
+  registry.Apply(Registered("b"), MonotonicTime(-9000), MonotonicTime(3000));
+  CHECK(registry.Find("a") == nullptr);
+  for (int64_t at : {4000, 5200}) {
+    registry.Apply(Registered("a"), MonotonicTime(-9000), MonotonicTime(at));
+    CHECK(registry.Find("a") == nullptr);
+    CHECK(registry.Find("b") != nullptr);
+  }
+  registry.Apply(Registered("a"), MonotonicTime(-9000), MonotonicTime(6400));
+  CHECK(registry.Find("a") != nullptr);
+  CHECK(registry.Find("b") == nullptr);
+}
+
 // Guards against taking a running process for a crashed one: its agent's status
 // shows a restart before the registration does.
 TEST_CASE("a restart that the agent reported first is the same crash") {
@@ -100,8 +126,10 @@
       {"a successor of one that was leaving", true, 1000, 4000, 80, true, 0},
       {"another address", false, 1000, 4000, 81, false, 0},
       {"an outdated registration", false, 4000, 1000, 80, false, 0},
-      {"unknown start of the first", false, 0, 4000, 80, false, 0},
-      {"unknown start of the second", false, 1000, 0, 80, false, 0},
+      {"unknown start of the first", false, 0, 4000, 80, true, 1},
+      {"unknown start of the second", false, 1000, 0, 80, true, 1},
+      {"unknown starts", false, 0, 0, 80, true, 1},
+      {"unknown starts, another address", false, 0, 0, 81, false, 0},
   };
   for (const Row& row : rows) {
     INFO(row.name);
--- a/Source/UnitTests/Router/plain_service_crash_test.cc
+++ b/Source/UnitTests/Router/plain_service_crash_test.cc
@@ -35,6 +35,7 @@
   Milliseconds min_downtime;
   Milliseconds max_downtime;
   bool is_silent;  // Connections go silent at the crash instead of being reset.
+  bool has_start_times = true;  // In registrations.
 };
 
 class Simulation {
@@ -94,7 +95,8 @@
     record.service = "s";
     record.endpoint = {"10.0.0." + std::to_string(slot + 1), 80};
     record.slots = 6;
-    record.start_time_ms = 1'000'000 + now_.count();
+    if (scenario_.has_start_times)
+      record.start_time_ms = 1'000'000 + now_.count();
     running_[record.id] = slot;
     Publish({record.id, record, ""});
   }
@@ -176,7 +178,7 @@
 
 std::vector<Scenario> Scenarios() {
   using namespace std::chrono_literals;
-  return {
+  std::vector<Scenario> out = {
       {"three upstreams, back soon", 3, 300ms, 500ms, 1500ms, false},
       {"three upstreams, back in three seconds", 3, 300ms, 2500ms, 3500ms,
        false},
@@ -185,10 +187,15 @@
       {"one upstream", 1, 300ms, 500ms, 2500ms, false},
       {"eight upstreams", 8, 300ms, 500ms, 3500ms, false},
   };
+  for (size_t i = 0, n = out.size(); i < n; ++i) {
+    out.push_back(out[i]);
+    out.back().has_start_times = false;
+  }
+  return out;
 }
 
 void CheckContainment(const Scenario& scenario, uint64_t seed) {
-  CAPTURE(scenario.name, seed);
+  CAPTURE(scenario.name, scenario.has_start_times, seed);
   Simulation simulation(scenario, seed);
   simulation.Run();
   CHECK(simulation.crashes() >= 2);
