Forget the end of a rate limit at routers that do not know the limit

Found while reading the change: a relay keeps the end of a limit for 10 s after the last report, a router for 5 s; a router that had forgotten it took it from the next summary, logged it and reported it again, which kept it at the relay, once a second for as long as the upstream was registered. Callers saw nothing of it. Change: the end of a limit is ignored where the limit is not known.

--- a/Source/Core/Fleet/upstream_rate_limits.cc
+++ b/Source/Core/Fleet/upstream_rate_limits.cc
@@ -17,7 +17,7 @@
 constexpr Milliseconds kSharerListLifetime{2500};
 // The end of a limit is reported for this long, so that all routers learn it.
 constexpr Milliseconds kWithdrawalLifetime{5000};
-// A statement that comes back by way of a relay looks younger by the time that
+// A statement that returns by way of a relay looks younger by the time that
 // the datagrams took.
 constexpr Milliseconds kMaxDatagramTime{100};
 
@@ -118,6 +118,8 @@
   for (const RateLimitSummaryEntry& it : summary.entries) {
     const std::string& id = it.statement.upstream_id;
     if (!registry.all().contains(id)) continue;
+    // The end of a limit matters only to a router that knows the limit.
+    if (!it.statement.limit && !entries_.contains(id)) continue;
     RateLimitStatement statement = ReadStatement(it.statement, now);
     auto known = entries_.find(id);
     bool is_echo =
--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -22,7 +22,7 @@
 // unless one read of the store may have returned both.
 constexpr Milliseconds kMaxReadTime{300};
 // The store may execute a write of a process that has ended some seconds later.
-// A process that goes on writing is alive, whatever else has its address.
+// A process that goes on writing is alive.
 constexpr Milliseconds kMaxWriteDelay{10'000};
 constexpr int kWritesOfLiveProcess = 3;
 
--- a/Source/UnitTests/Fleet/upstream_rate_limits_test.cc
+++ b/Source/UnitTests/Fleet/upstream_rate_limits_test.cc
@@ -71,5 +71,29 @@
   CHECK(limits.size() == 0);
 }
 
+// Guards against limits that have ended and are reported back and forth.
+TEST_CASE("the end of a rate limit is forgotten") {
+  UpstreamRegistry registry;
+  registry.Apply({"a", MakeUpstream().record, ""}, MonotonicTime(-9000),
+                 MonotonicTime(0));
+  RateLimitSummary summary{{{{"a", 1000, 2.0, 0}, {7}, false}}};
+  RateLimitSummary end{{{{"a", 1000, std::nullopt, 0}, {7}, false}}};
+  Endpoint relay{"10.0.0.9", 1};
+  UpstreamRateLimits limits;
+  limits.OnSummary(end, relay, registry, MonotonicTime(100));
+  CHECK(limits.MakeReports(MonotonicTime(100)).at(0).entries.empty());
+  limits.OnSummary(summary, relay, registry, MonotonicTime(200));
+  CHECK(limits.size() == 1);
+  limits.OnSummary(end, relay, registry, MonotonicTime(1000));
+  CHECK(limits.size() == 0);
+  CHECK(limits.MakeReports(MonotonicTime(1000)).at(0).entries.size() == 1);
+  limits.Update(registry, MonotonicTime(7000));
+  // A relay keeps it a little longer.
+  end.entries[0].statement.age_ms = 6000;
+  limits.OnSummary(end, relay, registry, MonotonicTime(7000));
+  CHECK(limits.MakeReports(MonotonicTime(7000)).at(0).entries.empty());
+  CHECK_FALSE(limits.HasNews());
+}
+
 }  // namespace
 }  // namespace primrosecove
