Do not take a misdirected response for the named upstream's

A signed response without a rate limit ends the limit of its upstream. A response to a misdirected request (421) is signed, if at all, by the server that now has the address, so it could end the limit of another. The test failed before for the row 'of another server', 'true == false'.

--- a/Source/UnitTests/Platform/codec_test.cc
+++ b/Source/UnitTests/Platform/codec_test.cc
@@ -185,9 +185,12 @@
     INFO(row.name);
     HttpHeaders headers;
     for (const std::string& it : row.values) headers.Add("server-limit", it);
+    headers.Add("Server-Signature", "x");
     ResponseFields out = DecodeResponseFields(row.status, headers);
     CHECK(out.rate_limit == row.limit);
     CHECK(out.has_malformed_rate_limit == row.is_malformed);
+    // A signed response without a limit ends the limit of its server.
+    CHECK(out.is_signed == (row.status != 421));
   }
 }
 
