Log the prompt parts of lost attempts and how long they had been writing

The hypotheses of the crashing prompt part can't be told apart by the logs: routers neither read the parts of a prompt nor log how long a response had been arriving when its connection was lost. The adapter now decodes the shared parts (the last one is the request's own), bounded to 16; attempt_lost logs them with the writing time; losses_before_response_total counts attempts that had not begun. Nothing is decided by them yet.

--- a/Source/Core/Fleet/request_fields.h
+++ b/Source/Core/Fleet/request_fields.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "Core/Fleet/deployment.h"
 
@@ -19,6 +20,14 @@
   int64_t max_output_tokens = 0;
   std::optional<int64_t> expected_output_tokens;  ///< The caller's estimate.
   std::optional<uint64_t> last_event_id;          ///< Resume after this event.
+  /// Ids of the parts of the prompt that other requests may share, in order,
+  /// without repeats; at most kMaxPromptParts.
+  std::vector<std::string> prompt_parts;
+  /// The list of parts has entries that were left out: without an id, or beyond
+  /// kMaxPromptParts.
+  bool has_unusable_prompt_parts = false;
+
+  static constexpr size_t kMaxPromptParts = 16;
 };
 
 /// Metadata of a request that a router sends to an upstream.
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -45,6 +45,11 @@
   arrived_at_ = state_->Now();
   routes_ = state_->routes;
   fields_ = platform::DecodeCallerFields(exchange_->request().headers);
+  if (fields_.has_unusable_prompt_parts) {
+    PC_INFO(kRouter, "event=prompt_parts_left_out id="
+                         << fields_.request_id
+                         << " kept=" << fields_.prompt_parts.size());
+  }
   if (state_->closing)
     return Refuse("router is stopping", kRetryElsewhereDelay);
   if (routes_ == nullptr)
@@ -227,6 +232,7 @@
   ++attempts_;
   sent_at_ = now;
   last_data_at_ = now;
+  response_began_at_.reset();
   streaming_ = false;
   response_body_.clear();
   framer_.Reset();
@@ -264,8 +270,9 @@
   if (response.load) {
     state_->registry.RecordResponseLoad(upstream_id_, *response.load, now);
   }
-  streaming_ = route_->kind == RequestKind::kStream && IsSuccess(head.status) &&
-               response.is_signed;
+  bool is_success = IsSuccess(head.status) && response.is_signed;
+  if (is_success) response_began_at_ = now;
+  streaming_ = route_->kind == RequestKind::kStream && is_success;
   if (!streaming_) return;
   if (event_count_ == 0) {
     weights_version_ = response.weights_version;
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -49,6 +49,9 @@
   void RecordCompletion();
   void RecordConnectionLoss();
   void RecordLossIfSilent();
+  // For how long the current attempt's response has been arriving, or nothing
+  // if it has not begun.
+  std::optional<Milliseconds> WritingTime() const;
   void ReleaseSuspect();
   Placement ChoosePlacement(MonotonicTime now);
   // Mean service time of the request's service, measured or assumed.
@@ -100,6 +103,8 @@
   std::string upstream_id_;
   std::string last_upstream_ = "-";
   MonotonicTime sent_at_{0};
+  // When the current attempt's successful response began.
+  std::optional<MonotonicTime> response_began_at_;
   uint64_t attempt_weights_version_ = 0;  // 0 if none are needed.
   MonotonicTime last_data_at_{
       0};  // When the current attempt last received bytes.
--- a/Source/Core/Router/fleet_request_failure.cc
+++ b/Source/Core/Router/fleet_request_failure.cc
@@ -1,6 +1,8 @@
 // Attempts of a FleetRequest that fail, or end without a response: retries on
 // other upstreams, and what is recorded about the lost ones.
 #include <algorithm>
+#include <span>
+#include <string>
 #include <utility>
 
 #include "Core/Common/log.h"
@@ -29,6 +31,19 @@
 constexpr double kOverdueFactor = 4;
 constexpr Milliseconds kMinOverdueTime{220};
 
+// Returns the first parts of a prompt for a log line.
+std::string FormatPromptParts(std::span<const std::string> parts) {
+  constexpr size_t kMaxLoggedParts = 4;
+  constexpr size_t kMaxLoggedIdBytes = 20;
+  std::string out;
+  for (const std::string& it :
+       parts.first(std::min(parts.size(), kMaxLoggedParts))) {
+    if (!out.empty()) out += ',';
+    out += it.substr(0, kMaxLoggedIdBytes);
+  }
+  return out.empty() ? "-" : out;
+}
+
 }  // namespace
 
 void FleetRequest::OnAttemptFailure(const char* why) {
@@ -42,8 +57,21 @@
   RetryOrFail(why);
 }
 
+std::optional<Milliseconds> FleetRequest::WritingTime() const {
+  if (!response_began_at_) return std::nullopt;
+  return std::max(last_data_at_ - *response_began_at_, Milliseconds(0));
+}
+
 void FleetRequest::RecordConnectionLoss() {
   MonotonicTime now = state_->Now();
+  auto writing_time = WritingTime();
+  if (!writing_time) ++state_->counters.losses_before_response;
+  PC_INFO(kRouter, "event=attempt_lost id="
+                       << fields_.request_id << " request=" << Fingerprint()
+                       << " upstream=" << upstream_id_ << " sent_ago_ms="
+                       << (now - sent_at_).count() << " writing_ms="
+                       << (writing_time ? writing_time->count() : -1)
+                       << " parts=" << FormatPromptParts(fields_.prompt_parts));
   state_->crash_correlator.OnConnectionLost(
       {Fingerprint(), upstream_id_, sent_as_suspect_, sent_at_}, now);
   is_suspect_ = is_suspect_ ||
--- a/Source/UnitTests/Platform/codec_test.cc
+++ b/Source/UnitTests/Platform/codec_test.cc
@@ -154,6 +154,43 @@
   CHECK(DecodeCallerFields(caller).prompt_tokens == 10);
 }
 
+// Guards against callers who hide a part of their prompt, or fill the memory,
+// with an unusual list of parts.
+TEST_CASE("the shared parts of a prompt are decoded, whatever their list") {
+  struct Row {
+    const char* name;
+    std::vector<std::string> values;
+    std::vector<std::string> parts;
+    bool has_unusable;
+  };
+  std::string many;
+  for (int i = 0; i < 300; ++i) many += std::to_string(i) + ":1,";
+  std::vector<std::string> first_of_many;
+  for (size_t i = 0; i < CallerFields::kMaxPromptParts; ++i)
+    first_of_many.push_back(std::to_string(i));
+  const Row rows[] = {
+      {"absent", {}, {}, false},
+      {"the request's own part alone", {"ab:1"}, {}, false},
+      {"shared parts", {"ab:800,cd:410,ef:250"}, {"ab", "cd"}, false},
+      {"spaces and capitals", {" AB:800, Cd:410, ef:250"}, {"ab", "cd"}, false},
+      {"one field a part", {"ab:1", "cd:2", "ef:3"}, {"ab", "cd"}, false},
+      {"an id twice", {"ab:1,ab:2,ef:3"}, {"ab"}, false},
+      {"no counts", {"ab,cd,ef"}, {"ab", "cd"}, false},
+      {"absurd counts", {"ab:-1,cd:9e99,ef:x"}, {"ab", "cd"}, false},
+      {"not hexadecimal", {"xyz:1,ef:3"}, {"xyz"}, false},
+      {"no id", {":1,cd:2,ef:3"}, {"cd"}, true},
+      {"hundreds", {many}, first_of_many, true},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    HttpHeaders headers;
+    for (const std::string& it : row.values) headers.Add("Prefix-Hash", it);
+    CallerFields fields = DecodeCallerFields(headers);
+    CHECK(fields.prompt_parts == row.parts);
+    CHECK(fields.has_unusable_prompt_parts == row.has_unusable);
+  }
+}
+
 TEST_CASE("a rate limit is one non-negative decimal number") {
   struct Row {
     const char* name;
