--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -519,6 +519,43 @@
   CHECK(fixture.SendAndWait("/safe/other").head->status == 200);
 }
 
+// Guards against upstreams that crash one after the other under requests that
+// are all different, but share one part of their prompts.
+TEST_CASE("requests that share a crashing prompt part are contained",
+          "[fleet]") {
+  RouterFixture fixture(96);
+  for (auto& [id, engine] : fixture.engines)
+    engine->SetCrashingPromptPart("bad");
+  auto crashes = [&] {
+    int out = 0;
+    for (auto& [id, engine] : fixture.engines) out += engine->crashes();
+    return out;
+  };
+  const CrashCorrelator& correlator = fixture.router->crash_correlator();
+  int sent = 0;
+  auto send = [&](const std::string& parts) {
+    std::string n = std::to_string(++sent);
+    return fixture.SendAndWait("/safe/" + n, kApiKey,
+                               {{"Prefix-Hash", parts + ",own" + n + ":250"}});
+  };
+  for (int i = 0; i < 12; ++i) {
+    send("first:800,bad:410");
+    RunUntil(&fixture.loop, [&] {
+      return correlator.counters().crashes >= static_cast<uint64_t>(crashes());
+    });
+  }
+  CHECK(crashes() <= 5);
+  CallResult refused = send("first:800,bad:410");
+  CHECK(refused.head->status == 503);
+  CHECK(refused.head->headers.Find("Retry-After"));
+  // Sound requests that share the other part are served, at the latest when
+  // one of them has shown that the part is sound.
+  RunUntil(&fixture.loop,
+           [&] { return send("first:800").head->status == 200; });
+  for (int i = 0; i < 5; ++i) CHECK(send("first:800").head->status == 200);
+  CHECK(crashes() <= 5);
+}
+
 // Guards against crashing requests that stay unknown because their attempt is
 // ended by its deadline or its caller while the crashed upstream is silent.
 TEST_CASE("an attempt that ends at a silent upstream is a lost connection",
