Block parts of prompts that crash upstreams

Cause: crashes are counted by the fingerprint of the whole request. No two of these requests are alike, so no fingerprint is counted twice. Class: evidence is kept under a key that does not recur, while the key that does recur is not observed.

Ruled out: late detection (an agent shows a crash 0.23 s after the loss, sooner than the next engine begins), blocked innocents (no line suspect_refused in the record).

Change: the subject of a crash observation is a request or a shared part of its prompt. A lost attempt counts against its parts unless its response had been arriving for a second; attempts that had not begun count for less. A sound execution, one that ended or has been responding for a second, clears its parts of earlier crashes at all routers, also at those that hear of the crash later. A blocked part is refused at once and tested by single requests, after 1 s, 5 s, 25 s and so on, at a moment that differs by router; a request with two blocked parts is no test. Reports carry the parts, with new message tags.

--- a/Source/Core/Control/daemon.cc
+++ b/Source/Core/Control/daemon.cc
@@ -191,7 +191,7 @@
   }
   Json suspects = Json::array();
   for (const CrashObservation& it : gossip_.suspects().List(WallClockMs())) {
-    suspects.push_back({{"request", it.request},
+    suspects.push_back({{"request", it.subject},
                         {"upstream", it.upstream},
                         {"as_suspect", it.as_suspect},
                         {"expires_ms", it.expires_ms}});
--- a/Source/Core/Fleet/fleet_messages.cc
+++ b/Source/Core/Fleet/fleet_messages.cc
@@ -8,9 +8,9 @@
 // The first byte identifies the message type; a changed layout gets a new tag.
 constexpr char kDeploymentUpdateTag = 'n';
 constexpr char kStatusTag = 'u';
-constexpr char kCrashReportTag = 'o';
+constexpr char kCrashReportTag = 'p';
 constexpr char kCrashDigestTag = 'd';
-constexpr char kLossReportTag = 'l';
+constexpr char kLossReportTag = 'm';
 constexpr char kRateLimitReportTag = 'r';
 constexpr char kRateLimitSummaryTag = 's';
 constexpr double kNoRateLimit = -1;  // On the wire.
@@ -66,14 +66,15 @@
 };
 
 struct CrashReportEntryWire {
-  uint64_t fingerprint = 0;
+  uint64_t subject = 0;
   uint64_t upstream_id_hash = 0;
   uint64_t incarnation = 0;
   bool as_suspect = false;
   bool completed = false;
+  bool may_have_been_queued = false;
   uint32_t valid_for_ms = 0;
-  MSGPACK_DEFINE_ARRAY(fingerprint, upstream_id_hash, incarnation, as_suspect,
-                       completed, valid_for_ms);
+  MSGPACK_DEFINE_ARRAY(subject, upstream_id_hash, incarnation, as_suspect,
+                       completed, may_have_been_queued, valid_for_ms);
 };
 
 struct CrashReportWire {
@@ -94,8 +95,11 @@
   bool as_suspect = false;
   uint32_t sent_ago_ms = 0;
   uint32_t lost_ago_ms = 0;
+  std::vector<uint64_t> prompt_parts;
+  bool may_have_been_queued = false;
   MSGPACK_DEFINE_ARRAY(loss_id, fingerprint, upstream_id, as_suspect,
-                       sent_ago_ms, lost_ago_ms);
+                       sent_ago_ms, lost_ago_ms, prompt_parts,
+                       may_have_been_queued);
 };
 
 struct LossReportWire {
@@ -201,9 +205,9 @@
 CrashReportWire ToWire(const CrashReport& it) {
   CrashReportWire out;
   for (const CrashReportEntry& entry : it.entries) {
-    out.entries.push_back({entry.request_fingerprint, entry.upstream_hash,
+    out.entries.push_back({entry.subject, entry.upstream_hash,
                            entry.incarnation, entry.as_suspect, entry.completed,
-                           entry.valid_for_ms});
+                           entry.may_have_been_queued, entry.valid_for_ms});
   }
   return out;
 }
@@ -211,9 +215,9 @@
 CrashReport FromWire(const CrashReportWire& it) {
   CrashReport out;
   for (const CrashReportEntryWire& entry : it.entries) {
-    out.entries.push_back({entry.fingerprint, entry.upstream_id_hash,
+    out.entries.push_back({entry.subject, entry.upstream_id_hash,
                            entry.incarnation, entry.as_suspect, entry.completed,
-                           entry.valid_for_ms});
+                           entry.may_have_been_queued, entry.valid_for_ms});
   }
   return out;
 }
@@ -231,7 +235,8 @@
   for (const LossReportEntry& entry : it.entries) {
     out.entries.push_back({entry.loss_id, entry.request_fingerprint,
                            entry.upstream_id, entry.as_suspect,
-                           entry.sent_ago_ms, entry.lost_ago_ms});
+                           entry.sent_ago_ms, entry.lost_ago_ms,
+                           entry.prompt_parts, entry.may_have_been_queued});
   }
   return out;
 }
@@ -241,7 +246,8 @@
   for (const LossReportEntryWire& entry : it.entries) {
     out.entries.push_back({entry.loss_id, entry.fingerprint, entry.upstream_id,
                            entry.as_suspect, entry.sent_ago_ms,
-                           entry.lost_ago_ms});
+                           entry.lost_ago_ms, entry.prompt_parts,
+                           entry.may_have_been_queued});
   }
   return out;
 }
--- a/Source/Core/Fleet/fleet_messages.h
+++ b/Source/Core/Fleet/fleet_messages.h
@@ -59,13 +59,15 @@
   static constexpr uint32_t kNoReloadPlanned = UINT32_MAX;
 };
 
-/// A request was running at an upstream that crashed, or ran to its end.
+/// A request, or a part of its prompt, was running at an upstream that crashed,
+/// or ran without crashing it.
 struct CrashReportEntry {
-  uint64_t request_fingerprint = 0;  ///< Hash of the request's content.
-  uint64_t upstream_hash = 0;        ///< Hash of the upstream's id.
-  uint64_t incarnation = 0;          ///< Start time of the upstream.
+  uint64_t subject = 0;        ///< Fingerprint of the request or the part.
+  uint64_t upstream_hash = 0;  ///< Hash of the upstream's id.
+  uint64_t incarnation = 0;    ///< Start time of the upstream.
   bool as_suspect = false;
   bool completed = false;
+  bool may_have_been_queued = false;
   uint32_t valid_for_ms = 0;  ///< Remaining lifetime of the observation.
   bool operator==(const CrashReportEntry&) const = default;
 };
@@ -87,6 +89,9 @@
   bool as_suspect = false;
   uint32_t sent_ago_ms = 0;
   uint32_t lost_ago_ms = 0;
+  /// Fingerprints of the parts of its prompt that may have caused a crash.
+  std::vector<uint64_t> prompt_parts;
+  bool may_have_been_queued = false;
   bool operator==(const LossReportEntry&) const = default;
 };
 
@@ -94,7 +99,7 @@
 /// routers that they know. These detect the crash if the sender restarts first.
 struct LossReport {
   /// Entries that fit into a datagram that is not fragmented.
-  static constexpr size_t kMaxEntries = 16;
+  static constexpr size_t kMaxEntries = 6;
   std::vector<LossReportEntry> entries;
 };
 
--- a/Source/Core/Membership/crash_exchange.cc
+++ b/Source/Core/Membership/crash_exchange.cc
@@ -19,7 +19,8 @@
     if (out.empty() || out.back().entries.size() >= CrashReport::kMaxEntries)
       out.emplace_back();
     out.back().entries.push_back(
-        {it.request, it.upstream, it.incarnation, it.as_suspect, it.completed,
+        {it.subject, it.upstream, it.incarnation, it.as_suspect, it.completed,
+         it.may_have_been_queued,
          static_cast<uint32_t>(it.expires_ms - now_ms)});
   }
   return out;
@@ -31,12 +32,13 @@
   for (const CrashReportEntry& it : report.entries) {
     int64_t valid_for_ms =
         std::min<int64_t>(it.valid_for_ms, SuspectTable::kLifetimeMs);
-    out.push_back({.request = it.request_fingerprint,
+    out.push_back({.subject = it.subject,
                    .upstream = it.upstream_hash,
                    .as_suspect = it.as_suspect,
                    .expires_ms = now_ms + valid_for_ms,
                    .incarnation = it.incarnation,
-                   .completed = it.completed});
+                   .completed = it.completed,
+                   .may_have_been_queued = it.may_have_been_queued});
   }
   return out;
 }
--- a/Source/Core/Membership/gossip_message.cc
+++ b/Source/Core/Membership/gossip_message.cc
@@ -104,7 +104,7 @@
 void PackObservation(Packer* out, const CrashObservation& it) {
   constexpr uint32_t kFields = 6;
   out->pack_array(kFields);
-  out->pack(it.request);
+  out->pack(it.subject);
   out->pack(it.upstream);
   out->pack(it.as_suspect);
   out->pack(it.expires_ms);
@@ -115,7 +115,7 @@
 CrashObservation ReadObservation(const msgpack::object& object) {
   ArrayReader in(object);
   CrashObservation out;
-  in.Read(&out.request);
+  in.Read(&out.subject);
   in.Read(&out.upstream);
   in.Read(&out.as_suspect);
   in.Read(&out.expires_ms);
--- a/Source/Core/Router/crash_correlator.cc
+++ b/Source/Core/Router/crash_correlator.cc
@@ -15,13 +15,19 @@
 
 }  // namespace
 
-CrashCorrelator::CrashCorrelator(Milliseconds max_detection_time)
-    : max_detection_time_(max_detection_time), last_loss_id_(RandomU64()) {}
+CrashCorrelator::CrashCorrelator(Milliseconds max_detection_time,
+                                 PromptPartScreen prompt_parts)
+    : max_detection_time_(max_detection_time),
+      prompt_parts_(std::move(prompt_parts)),
+      last_loss_id_(RandomU64()) {}
 
 void CrashCorrelator::OnConnectionLost(const LostAttempt& attempt,
                                        MonotonicTime now) {
   ++counters_.lost_connections;
   LostConnection lost_connection{attempt, now, ++last_loss_id_, false};
+  // Such an execution was sound until something else ended its upstream.
+  if (attempt.responding_time >= PromptPartScreen::kSoundExecutionTime)
+    lost_connection.attempt.prompt_parts.clear();
   if (AddLoss(lost_connection, now))
     new_losses_.push_back(std::move(lost_connection));
 }
@@ -32,8 +38,11 @@
     if (remote_losses_.size() >= kMaxLostConnections) return;
     if (!remote_losses_.try_emplace(it.loss_id, now).second) continue;
     ++counters_.reported_losses;
-    LostAttempt attempt{it.request_fingerprint, it.upstream_id, it.as_suspect,
-                        now - Milliseconds(it.sent_ago_ms)};
+    LostAttempt attempt{
+        it.request_fingerprint, it.upstream_id,
+        it.as_suspect,          now - Milliseconds(it.sent_ago_ms),
+        it.prompt_parts,        std::nullopt};
+    if (!it.may_have_been_queued) attempt.responding_time = Milliseconds(0);
     AddLoss({std::move(attempt), now - Milliseconds(it.lost_ago_ms), it.loss_id,
              true},
             now);
@@ -48,9 +57,10 @@
   for (const LostConnection& it : std::exchange(new_losses_, {})) {
     if (out.empty() || out.back().entries.size() >= LossReport::kMaxEntries)
       out.emplace_back();
-    out.back().entries.push_back({it.id, it.attempt.request,
-                                  it.attempt.upstream_id, it.attempt.as_suspect,
-                                  age(it.attempt.sent_at), age(it.at)});
+    out.back().entries.push_back(
+        {it.id, it.attempt.request, it.attempt.upstream_id,
+         it.attempt.as_suspect, age(it.attempt.sent_at), age(it.at),
+         it.attempt.prompt_parts, !it.attempt.responding_time});
   }
   return out;
 }
@@ -90,18 +100,27 @@
                                         MonotonicTime now) {
   const LostAttempt& attempt = lost_connection.attempt;
   CrashObservation observation;
-  observation.request = attempt.request;
+  observation.subject = attempt.request;
   observation.upstream = std::hash<std::string>{}(attempt.upstream_id);
   observation.incarnation = incarnation;
   observation.as_suspect = attempt.as_suspect;
-  observation.expires_ms = now.count() + SuspectTable::kLifetimeMs;
-  has_observations_ = true;
-  bool is_new = table_.Add(observation, now.count());
-  if (is_new) {
-    new_observations_.push_back(observation);
-  } else {
-    ++counters_.repeated_observations;
+  observation.expires_ms =
+      lost_connection.at.count() + SuspectTable::kLifetimeMs;
+  bool is_new = AddObservation(observation, now);
+  if (!is_new) ++counters_.repeated_observations;
+  observation.may_have_been_queued = !attempt.responding_time;
+  for (uint64_t part : attempt.prompt_parts) {
+    auto sound_at = prompt_parts_.LastSoundAt(part);
+    if (sound_at && *sound_at >= lost_connection.at) continue;
+    observation.subject = part;
+    if (!AddObservation(observation, now)) continue;
+    PC_WARN(kRouter,
+            "event=prompt_part_sighted part="
+                << part << " upstream=" << attempt.upstream_id
+                << " crashes=" << table_.CountCrashes(part, now.count()).crashes
+                << " verdict=" << static_cast<int>(ClassifyRequest(part, now)));
   }
+  if (!is_new && lost_connection.is_remote) return false;
   PC_WARN(kRouter,
           "event=crash_sighted request="
               << attempt.request << " upstream=" << attempt.upstream_id
@@ -112,14 +131,47 @@
   return is_new;
 }
 
+bool CrashCorrelator::AddObservation(const CrashObservation& observation,
+                                     MonotonicTime now) {
+  has_observations_ = true;
+  if (!table_.Add(observation, now.count())) return false;
+  new_observations_.push_back(observation);
+  return true;
+}
+
+void CrashCorrelator::OnSoundExecution(std::span<const uint64_t> prompt_parts,
+                                       MonotonicTime response_began_at,
+                                       MonotonicTime now) {
+  MonotonicTime sound_at =
+      std::min(now, response_began_at + PromptPartScreen::kSoundExecutionTime);
+  for (uint64_t part : prompt_parts) {
+    prompt_parts_.RecordSound(part, sound_at);
+    if (ClassifyRequest(part, now) != SuspectVerdict::kClear)
+      ClearPromptPart(part, sound_at, now);
+  }
+}
+
+void CrashCorrelator::ClearPromptPart(uint64_t part, MonotonicTime sound_at,
+                                      MonotonicTime now) {
+  CrashObservation completion;
+  completion.subject = part;
+  completion.completed = true;
+  completion.expires_ms = sound_at.count() + SuspectTable::kLifetimeMs;
+  SuspectVerdict before = ClassifyRequest(part, now);
+  if (!AddObservation(completion, now)) return;
+  PC_INFO(kRouter,
+          "event=prompt_part_cleared part="
+              << part << " verdict_before=" << static_cast<int>(before)
+              << " verdict=" << static_cast<int>(ClassifyRequest(part, now)));
+}
+
 void CrashCorrelator::OnCompleted(uint64_t request, MonotonicTime now) {
   if (ClassifyRequest(request, now) == SuspectVerdict::kClear) return;
   CrashObservation completion;
-  completion.request = request;
+  completion.subject = request;
   completion.completed = true;
   completion.expires_ms = now.count() + SuspectTable::kLifetimeMs;
-  if (!table_.Add(completion, now.count())) return;
-  new_observations_.push_back(completion);
+  if (!AddObservation(completion, now)) return;
   PC_INFO(kRouter, "event=suspect_cleared request=" << request);
 }
 
@@ -141,6 +193,7 @@
   std::erase_if(remote_losses_, [&](const auto& it) {
     return now - it.second > max_detection_time_;
   });
+  prompt_parts_.RemoveExpired(now);
   if (!store_reachable_since) return;
   while (!lost_connections_.empty()) {
     const LostConnection& oldest = lost_connections_.front();
@@ -162,9 +215,15 @@
   has_observations_ = true;
   if (!table_.Add(observation, now.count())) return;
   PC_INFO(kRouter,
-          "event=crash_heard request="
-              << observation.request << " verdict="
-              << static_cast<int>(ClassifyRequest(observation.request, now)));
+          "event=crash_heard subject="
+              << observation.subject << " verdict="
+              << static_cast<int>(ClassifyRequest(observation.subject, now)));
+  if (observation.completed) return;
+  // The other router may not know of an execution here that clears the part.
+  auto sound_at = prompt_parts_.LastSoundAt(observation.subject);
+  MonotonicTime crash_at(observation.expires_ms - SuspectTable::kLifetimeMs);
+  if (sound_at && *sound_at >= crash_at)
+    ClearPromptPart(observation.subject, *sound_at, now);
 }
 
 void CrashCorrelator::RemoveActiveSuspect(const std::string& upstream_id) {
--- a/Source/Core/Router/crash_correlator.h
+++ b/Source/Core/Router/crash_correlator.h
@@ -5,11 +5,13 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
 #include "Core/Fleet/upstream_registry.h"
 #include "Core/Membership/suspect_table.h"
+#include "Core/Router/prompt_part_screen.h"
 
 namespace primrosecove {
 
@@ -30,6 +32,10 @@
   /// It was this router's only active suspect at that upstream.
   bool as_suspect = false;
   MonotonicTime sent_at{0};
+  /// Fingerprints of the parts of its prompt.
+  std::vector<uint64_t> prompt_parts;
+  /// How long its response had been arriving; empty if it had not begun.
+  std::optional<Milliseconds> responding_time;
 };
 
 /// Crash observations of one router and those received from other routers. A
@@ -45,8 +51,9 @@
 
   /// `max_detection_time`: the longest time from a crash to its detection while
   /// the store is reachable.
-  explicit CrashCorrelator(
-      Milliseconds max_detection_time = Milliseconds(4000));
+  explicit CrashCorrelator(Milliseconds max_detection_time = Milliseconds(4000),
+                           PromptPartScreen prompt_parts =
+                               PromptPartScreen(0, Milliseconds(10'000)));
 
   void OnConnectionLost(const LostAttempt& attempt, MonotonicTime now);
   /// Records the crash of an upstream. Attempts that were running there become
@@ -61,6 +68,11 @@
   std::vector<CrashObservation> PopNewObservations();
   /// Records that a suspect ran to its end, so that it crashed no upstream.
   void OnCompleted(uint64_t request, MonotonicTime now);
+  /// Records that an execution with these parts of a prompt is sound: it has
+  /// ended, or has been responding for kSoundExecutionTime since
+  /// `response_began_at`.
+  void OnSoundExecution(std::span<const uint64_t> prompt_parts,
+                        MonotonicTime response_began_at, MonotonicTime now);
   /// Returns reports of the connections lost since the last call whose
   /// upstreams are not known to have crashed, for other routers.
   std::vector<LossReport> PopNewLosses(MonotonicTime now);
@@ -81,6 +93,13 @@
     return Milliseconds(table_.BlockedUntil(request)) - now;
   }
 
+  /// Decides about a request with these parts of its prompt.
+  PromptPartDecision CheckPromptParts(std::span<const uint64_t> parts,
+                                      MonotonicTime now) const {
+    return prompt_parts_.Check(table_, parts, now);
+  }
+  PromptPartScreen& prompt_parts() { return prompt_parts_; }
+
   const CrashCounters& counters() const { return counters_; }
   const SuspectTable& table() const { return table_; }
 
@@ -109,14 +128,20 @@
   // Correlates a loss with a known crash, or keeps it until one is detected.
   // Returns whether it is kept.
   bool AddLoss(LostConnection lost_connection, MonotonicTime now);
-  // Returns whether the observation is new.
+  // Returns whether the observation of the request is new.
   bool RecordObservation(const LostConnection& lost_connection,
                          uint64_t incarnation, MonotonicTime now);
+  // Returns whether the observation is new.
+  bool AddObservation(const CrashObservation& observation, MonotonicTime now);
+  // Voids the crashes of a part that a sound execution clears.
+  void ClearPromptPart(uint64_t part, MonotonicTime sound_at,
+                       MonotonicTime now);
   void DropLostConnection(const LostConnection& lost_connection,
                           MonotonicTime now);
 
   Milliseconds max_detection_time_;
   SuspectTable table_;
+  PromptPartScreen prompt_parts_;
   CrashCounters counters_;
   bool has_observations_ = false;
   /// Those without a known crash, in the order of their time.
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -54,7 +54,12 @@
     return Refuse("router is stopping", kRetryElsewhereDelay);
   if (routes_ == nullptr)
     return Refuse("no configuration yet", kRetryElsewhereDelay);
-  if (!ResolveRoute() || !Authenticate() || !CheckSuspect()) return;
+  for (const std::string& it : fields_.prompt_parts)
+    prompt_parts_.push_back(PromptPartFingerprint(it));
+  if (!ResolveRoute() || !Authenticate() || !CheckSuspect() ||
+      !CheckPromptParts()) {
+    return;
+  }
   Milliseconds time_limit = route_->timeout;
   if (fields_.deadline) time_limit = std::min(time_limit, *fields_.deadline);
   deadline_ = arrived_at_ + time_limit;
@@ -142,11 +147,67 @@
   return false;
 }
 
+std::string FleetRequest::PromptPartsForLog() const {
+  constexpr size_t kMaxLoggedParts = 4;
+  constexpr size_t kMaxLoggedIdBytes = 20;
+  std::string out;
+  size_t n = std::min(fields_.prompt_parts.size(), kMaxLoggedParts);
+  for (size_t i = 0; i < n; ++i) {
+    if (i > 0) out += ',';
+    out += fields_.prompt_parts[i].substr(0, kMaxLoggedIdBytes);
+  }
+  return out.empty() ? "-" : out;
+}
+
+bool FleetRequest::CheckPromptParts() {
+  if (!state_->crash_correlator.HasObservations()) return true;
+  PromptPartDecision decision =
+      state_->crash_correlator.CheckPromptParts(prompt_parts_, arrived_at_);
+  switch (decision.action) {
+    case PromptPartAction::kRun:
+      return true;
+    case PromptPartAction::kRunAsSuspect:
+      is_suspect_ = true;
+      return true;
+    case PromptPartAction::kTest:
+      is_suspect_ = true;
+      tested_prompt_part_ = decision.part;
+      state_->crash_correlator.prompt_parts().BeginTest(decision.part);
+      ++state_->counters.prompt_part_tests;
+      PC_INFO(kRouter, "event=prompt_part_tested id="
+                           << fields_.request_id << " part=" << decision.part
+                           << " crashes=" << decision.crashes
+                           << " parts=" << PromptPartsForLog());
+      return true;
+    case PromptPartAction::kRefuse:
+      break;
+  }
+  ++state_->counters.prompt_parts_refused;
+  PC_INFO(kRouter, "event=prompt_part_refused id="
+                       << fields_.request_id << " part=" << decision.part
+                       << " crashes=" << decision.crashes
+                       << " retry_after_ms=" << decision.retry_after.count()
+                       << " parts=" << PromptPartsForLog());
+  Refuse("a part of the prompt has crashed upstreams", decision.retry_after);
+  return false;
+}
+
 // The observations that block a request may arrive while it runs.
 bool FleetRequest::IsBlocked() {
-  return state_->crash_correlator.HasObservations() &&
-         state_->crash_correlator.ClassifyRequest(
-             Fingerprint(), state_->Now()) == SuspectVerdict::kBlocked;
+  CrashCorrelator& correlator = state_->crash_correlator;
+  if (!correlator.HasObservations()) return false;
+  MonotonicTime now = state_->Now();
+  if (correlator.ClassifyRequest(Fingerprint(), now) ==
+      SuspectVerdict::kBlocked) {
+    return true;
+  }
+  if (is_sound_) return false;
+  // A test may have crashed its upstream, which is detected later.
+  if (tested_prompt_part_)
+    return execution_state_ == ExecutionState::kMayHaveExecuted;
+  auto action = correlator.CheckPromptParts(prompt_parts_, now).action;
+  return action == PromptPartAction::kTest ||
+         action == PromptPartAction::kRefuse;
 }
 
 Milliseconds FleetRequest::TimeLeft() const {
@@ -348,7 +409,7 @@
   if (streaming_) {
     if (framer_.partial_bytes() > 0)
       return OnAttemptFailure("truncated event at end of stream");
-    RecordCompletion();
+    RecordCompletion(result.head->status);
     exchange_->EndStream();
     return Finish("answered", result.head->status, "");
   }
@@ -367,8 +428,7 @@
     return OnAttemptFailure("unsigned response");
   }
   bool ok = result.head->status < kStatusServerError;
-  // A response in time shows that the upstream is alive, whatever its status.
-  RecordCompletion();
+  RecordCompletion(result.head->status);
   if (!ok && !exchange_->started()) {
     execution_state_ = ExecutionState::kMayHaveExecuted;
     auto placement = route_->IsRetryable() ? TryPlaceRetry() : std::nullopt;
@@ -385,11 +445,30 @@
   Finish("answered", result.head->status, "");
 }
 
-void FleetRequest::RecordCompletion() {
+void FleetRequest::RecordCompletion(int status) {
   MonotonicTime now = state_->Now();
+  // A response in time shows that the upstream is alive, whatever its status.
   ReleaseUpstream(true);
   state_->RecordServiceTime(service_->name, now - sent_at_);
   if (is_suspect_) state_->crash_correlator.OnCompleted(Fingerprint(), now);
+  if (IsSuccess(status)) RecordSoundExecution();
+}
+
+void FleetRequest::RecordSoundExecution() {
+  MonotonicTime now = state_->Now();
+  is_sound_ = true;
+  state_->crash_correlator.OnSoundExecution(
+      prompt_parts_, response_began_at_.value_or(now), now);
+  EndPromptPartTest();
+}
+
+void FleetRequest::EndPromptPartTest() {
+  if (!tested_prompt_part_) return;
+  bool may_have_crashed =
+      !is_sound_ && execution_state_ == ExecutionState::kMayHaveExecuted;
+  state_->crash_correlator.prompt_parts().EndTest(
+      *tested_prompt_part_, may_have_crashed, state_->Now());
+  tested_prompt_part_.reset();
 }
 
 void FleetRequest::Refuse(const char* why,
@@ -427,6 +506,7 @@
   ended_ = true;
   MonotonicTime now = state_->Now();
   deadline_timer_.Cancel();
+  EndPromptPartTest();
   if (std::string_view(outcome) == "answered") ++state_->counters.responded;
   if (std::string_view(outcome) == "broken_off") ++state_->counters.aborted;
   state_->response_seconds->Observe(
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "Core/Fleet/event_framer.h"
 #include "Core/Fleet/request_fields.h"
@@ -44,14 +45,21 @@
   // Refuses a request that has crashed upstreams and marks one that is
   // suspected of it.
   bool CheckSuspect();
+  // The same, by the parts of its prompt.
+  bool CheckPromptParts();
   bool IsBlocked();
   uint64_t Fingerprint();
-  void RecordCompletion();
+  void RecordCompletion(int status);
+  // Records that the current attempt has not crashed its upstream.
+  void RecordSoundExecution();
+  void EndPromptPartTest();
+  // The first parts of the prompt.
+  std::string PromptPartsForLog() const;
   void RecordConnectionLoss();
   void RecordLossIfSilent();
   // For how long the current attempt's response has been arriving, or nothing
   // if it has not begun.
-  std::optional<Milliseconds> WritingTime() const;
+  std::optional<Milliseconds> RespondingTime() const;
   void ReleaseSuspect();
   Placement ChoosePlacement(MonotonicTime now);
   // Mean service time of the request's service, measured or assumed.
@@ -114,6 +122,9 @@
   Milliseconds placement_load_age_{0};
   std::set<std::string> tried_upstreams_;
   std::optional<uint64_t> fingerprint_;
+  std::vector<uint64_t> prompt_parts_;  // Fingerprints.
+  std::optional<uint64_t> tested_prompt_part_;
+  bool is_sound_ = false;            // An attempt did not crash its upstream.
   bool is_suspect_ = false;          // The request was running at a crash.
   bool counted_as_suspect_ = false;  // By the crash correlator.
   bool sent_as_suspect_ = false;     // No other suspect was there.
--- a/Source/Core/Router/fleet_request_failure.cc
+++ b/Source/Core/Router/fleet_request_failure.cc
@@ -31,19 +31,6 @@
 constexpr double kOverdueFactor = 4;
 constexpr Milliseconds kMinOverdueTime{220};
 
-// Returns the first parts of a prompt for a log line.
-std::string FormatPromptParts(std::span<const std::string> parts) {
-  constexpr size_t kMaxLoggedParts = 4;
-  constexpr size_t kMaxLoggedIdBytes = 20;
-  std::string out;
-  for (const std::string& it :
-       parts.first(std::min(parts.size(), kMaxLoggedParts))) {
-    if (!out.empty()) out += ',';
-    out += it.substr(0, kMaxLoggedIdBytes);
-  }
-  return out.empty() ? "-" : out;
-}
-
 }  // namespace
 
 void FleetRequest::OnAttemptFailure(const char* why) {
@@ -57,23 +44,25 @@
   RetryOrFail(why);
 }
 
-std::optional<Milliseconds> FleetRequest::WritingTime() const {
+std::optional<Milliseconds> FleetRequest::RespondingTime() const {
   if (!response_began_at_) return std::nullopt;
   return std::max(last_data_at_ - *response_began_at_, Milliseconds(0));
 }
 
 void FleetRequest::RecordConnectionLoss() {
   MonotonicTime now = state_->Now();
-  auto writing_time = WritingTime();
-  if (!writing_time) ++state_->counters.losses_before_response;
+  auto responding_time = RespondingTime();
+  if (!responding_time) ++state_->counters.losses_before_response;
   PC_INFO(kRouter, "event=attempt_lost id="
                        << fields_.request_id << " request=" << Fingerprint()
                        << " upstream=" << upstream_id_ << " sent_ago_ms="
-                       << (now - sent_at_).count() << " writing_ms="
-                       << (writing_time ? writing_time->count() : -1)
-                       << " parts=" << FormatPromptParts(fields_.prompt_parts));
+                       << (now - sent_at_).count() << " responding_ms="
+                       << (responding_time ? responding_time->count() : -1)
+                       << " parts=" << PromptPartsForLog());
   state_->crash_correlator.OnConnectionLost(
-      {Fingerprint(), upstream_id_, sent_as_suspect_, sent_at_}, now);
+      {Fingerprint(), upstream_id_, sent_as_suspect_, sent_at_, prompt_parts_,
+       responding_time},
+      now);
   is_suspect_ = is_suspect_ ||
                 state_->crash_correlator.ClassifyRequest(Fingerprint(), now) !=
                     SuspectVerdict::kClear;
@@ -128,6 +117,9 @@
 
 void FleetRequest::CheckUpstream(MonotonicTime now) {
   if (ended_ || call_ == nullptr) return;
+  if (!is_sound_ && RespondingTime() >= PromptPartScreen::kSoundExecutionTime) {
+    RecordSoundExecution();
+  }
   if (IsQueuedOnExpiringWeights(now))
     return CancelAttempt("weights too old to start on");
   if (!route_->IsRetryable() || attempts_ >= route_->max_attempts) return;
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -97,11 +97,12 @@
   state_.client = std::make_unique<Http1Client>(loop_);
   const FleetBounds& bounds = state_.settings.bounds;
   state_.freshness = ConfigFreshness(bounds);
+  uint64_t router_id = RendezvousScore("router", state_.settings.name);
   state_.crash_correlator = CrashCorrelator(
-      UpstreamRegistry::MaxDetectionTime(state_.settings.heartbeat));
+      UpstreamRegistry::MaxDetectionTime(state_.settings.heartbeat),
+      PromptPartScreen(router_id, bounds.retry_window));
   state_.minimum_versions = MinimumVersion(bounds.version);
-  state_.rate_limits = UpstreamRateLimits(
-      RendezvousScore("router", state_.settings.name), bounds.retry_window);
+  state_.rate_limits = UpstreamRateLimits(router_id, bounds.retry_window);
   state_.random.seed(RandomU64());
   AddMetrics();
 }
@@ -283,6 +284,7 @@
   state_.registry.RecordStatus(*status, state_.Now());
   auto routers = static_cast<int>(status->active_routers);
   state_.rate_limits.SetRouterCount(routers, now);
+  state_.crash_correlator.prompt_parts().SetRouterCount(routers, now);
   for (auto& [service, retry_budget] : state_.retry_budgets)
     retry_budget.SetRouterCount(routers, now);
 }
--- a/Source/Core/Router/fleet_router_metrics.cc
+++ b/Source/Core/Router/fleet_router_metrics.cc
@@ -39,6 +39,12 @@
       {"suspects_refused_total",
        "Requests refused because they crash upstreams",
        &FleetCounters::suspects_refused},
+      {"prompt_part_tests_total",
+       "Requests sent to test a blocked part of their prompt",
+       &FleetCounters::prompt_part_tests},
+      {"prompt_parts_refused_total",
+       "Requests refused because a part of their prompt crashes upstreams",
+       &FleetCounters::prompt_parts_refused},
   };
   for (const Row& row : kRows) {
     metrics_.AddCounter(
--- a/Source/Core/Router/request_task.cc
+++ b/Source/Core/Router/request_task.cc
@@ -182,7 +182,7 @@
   EndAttempt(summary_.status < kFirstServerError);
   if (sent_as_suspect_) {
     context_.report_observation(
-        {.request = fingerprint_,
+        {.subject = fingerprint_,
          .expires_ms = WallClockMs() + SuspectTable::kLifetimeMs,
          .completed = true});
   }
--- a/Source/UnitTests/Agent/fleet_agent_test.cc
+++ b/Source/UnitTests/Agent/fleet_agent_test.cc
@@ -222,7 +222,7 @@
 TEST_CASE("an agent keeps crash observations and sends them on request",
           "[burst]") {
   FleetFixture fleet(92, 1, 1);
-  CrashReportEntry entry{7, 10, 1, true, false, 60'000};
+  CrashReportEntry entry{7, 10, 1, true, false, false, 60'000};
   fleet.Send(CrashReport{{entry}});
   // A datagram may be lost, so the digest is sent until it is answered.
   RunUntil(&fleet.loop, [&] {
@@ -232,7 +232,7 @@
   const auto* report = std::get_if<CrashReport>(&fleet.crash_messages[0]);
   REQUIRE(report != nullptr);
   REQUIRE(report->entries.size() == 1);
-  CHECK(report->entries[0].request_fingerprint == entry.request_fingerprint);
+  CHECK(report->entries[0].subject == entry.subject);
   CHECK(report->entries[0].valid_for_ms <= entry.valid_for_ms);
   const auto* digest = std::get_if<CrashDigest>(&fleet.crash_messages[1]);
   REQUIRE(digest != nullptr);
--- a/Source/UnitTests/Membership/suspect_test.cc
+++ b/Source/UnitTests/Membership/suspect_test.cc
@@ -70,7 +70,7 @@
     SuspectVerdict verdict;
   };
   const CrashObservation kCompletion{
-      .request = 1, .expires_ms = kExpiry, .completed = true};
+      .subject = 1, .expires_ms = kExpiry, .completed = true};
   auto row = GENERATE_COPY(values<Row>({
       {"crashes before it",
        {{1, 10, false, kExpiry - 1}, {1, 11, true, kExpiry - 1}, kCompletion},
--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -604,7 +604,7 @@
   CrashReport report;
   uint64_t fingerprint = RequestFingerprint("w1", "/stream/x", "body");
   for (uint64_t upstream : {101, 102, 103})
-    report.entries.push_back({fingerprint, upstream, 1, false, false, 60'000});
+    report.entries.push_back({fingerprint, upstream, 1, false, false, false, 60'000});
   UdpSocket peer(&fixture.loop, [](std::string_view, const Endpoint&) {});
   REQUIRE(peer.Bind(fixture.EndpointAt(20)));
   peer.Send(EncodeMessage(report), fixture.router->peer_endpoint());
@@ -622,7 +622,7 @@
   CrashReport report;
   uint64_t fingerprint = RequestFingerprint("w1", "/stream/x", "body");
   for (uint64_t upstream : {101, 102, 103})
-    report.entries.push_back({fingerprint, upstream, 1, false, false, 60'000});
+    report.entries.push_back({fingerprint, upstream, 1, false, false, false, 60'000});
   // The agent beside engine-0.
   Endpoint agent = fixture.router->peer_endpoint();
   agent.ip = fixture.EndpointAt(2).ip;
