Look for expired crash observations only when one may have expired

Adding an observation searched the whole table for expired ones. A storm of crashes adds hundreds a second, each of up to 4096 entries. The table now keeps the earliest expiry.

--- a/Source/Core/Membership/suspect_table.cc
+++ b/Source/Core/Membership/suspect_table.cc
@@ -39,6 +39,7 @@
                                        }));
   }
   by_subject_.emplace(observation.subject, observation);
+  earliest_expiry_ms_ = std::min(earliest_expiry_ms_, observation.expires_ms);
   return true;
 }
 
@@ -116,8 +117,12 @@
 }
 
 void SuspectTable::RemoveExpired(int64_t now_ms) {
+  if (now_ms < earliest_expiry_ms_) return;
   std::erase_if(by_subject_,
                 [&](const auto& it) { return it.second.expires_ms <= now_ms; });
+  earliest_expiry_ms_ = INT64_MAX;
+  for (const auto& [subject, it] : by_subject_)
+    earliest_expiry_ms_ = std::min(earliest_expiry_ms_, it.expires_ms);
 }
 
 uint64_t RequestFingerprint(std::string_view workspace, std::string_view target,
--- a/Source/Core/Membership/suspect_table.h
+++ b/Source/Core/Membership/suspect_table.h
@@ -81,6 +81,7 @@
   bool IsKnownOrVoid(const CrashObservation& observation) const;
 
   BySubject by_subject_;
+  int64_t earliest_expiry_ms_ = INT64_MAX;  // Or earlier.
 };
 
 /// Fingerprint of a request's content; a resent request has the same one.
