Log the rest that upstreams ask for and that they leave

The adapter decodes Retry-After of 503 and 429 (seconds with a fraction or a date; the longest of several; longer than an hour counts as an hour) and Server-Leaving; both are ignored in 421, which another process sends. upstream_refused logs them, rests_asked_total counts. Nothing is decided by them yet.

--- a/Source/Core/Fleet/request_fields.h
+++ b/Source/Core/Fleet/request_fields.h
@@ -57,6 +57,14 @@
   std::optional<double> rate_limit;
   /// A rate limit is present, but is not a single non-negative number.
   bool has_malformed_rate_limit = false;
+  /// For how long the upstream wants no request from this router, as stated by
+  /// a response with which it turns one away; at most kMaxRest.
+  std::optional<Milliseconds> rest;
+  /// A statement of a rest has an unusable value, or is longer than kMaxRest.
+  bool has_malformed_rest = false;
+  bool is_leaving = false;  ///< The upstream's process is about to end.
+
+  static constexpr Milliseconds kMaxRest{3'600'000};
 };
 
 }  // namespace primrosecove
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -416,7 +416,11 @@
   if (response.not_executed) {
     PC_INFO(kRouter, "event=upstream_refused id="
                          << fields_.request_id << " upstream=" << upstream_id_
-                         << " status=" << result.head->status);
+                         << " status=" << result.head->status << " rest_ms="
+                         << (response.rest ? response.rest->count() : -1)
+                         << " malformed=" << response.has_malformed_rest
+                         << " leaving=" << response.is_leaving);
+    if (response.rest) ++state_->counters.rests_asked;
     state_->registry.OnRefused(upstream_id_, state_->Now());
     ReleaseSuspect();
     upstream_id_.clear();
--- a/Source/Core/Router/fleet_router_metrics.cc
+++ b/Source/Core/Router/fleet_router_metrics.cc
@@ -39,6 +39,8 @@
       {"suspects_refused_total",
        "Requests refused because they crash upstreams",
        &FleetCounters::suspects_refused},
+      {"rests_asked_total", "Refusals by which upstreams ask for rest",
+       &FleetCounters::rests_asked},
       {"prompt_part_tests_total",
        "Requests sent to test a blocked part of their prompt",
        &FleetCounters::prompt_part_tests},
--- a/Source/Core/Router/fleet_state.h
+++ b/Source/Core/Router/fleet_state.h
@@ -40,6 +40,7 @@
   uint64_t losses_before_response = 0;  ///< Lost before a response began.
   uint64_t suspects_sent = 0;
   uint64_t suspects_refused = 0;
+  uint64_t rests_asked = 0;  ///< Refusals by which an upstream asks for rest.
   uint64_t prompt_part_tests = 0;
   uint64_t prompt_parts_refused = 0;
 };
--- a/Source/UnitTests/Platform/codec_test.cc
+++ b/Source/UnitTests/Platform/codec_test.cc
@@ -191,6 +191,63 @@
   }
 }
 
+TEST_CASE("an upstream states a rest as it turns a request away") {
+  struct Row {
+    const char* name;
+    int status;
+    std::vector<std::string> values;
+    std::optional<int64_t> rest_ms;
+    bool is_malformed;
+  };
+  const Row rows[] = {
+      {"none", 503, {}, std::nullopt, false},
+      {"seconds", 503, {"3"}, 3000, false},
+      {"a fraction", 503, {"0.25"}, 250, false},
+      {"too many requests", 429, {"2"}, 2000, false},
+      {"zero", 503, {"0"}, 0, false},
+      {"negative", 503, {"-1"}, std::nullopt, true},
+      {"not a number", 503, {"soon"}, std::nullopt, true},
+      {"empty", 503, {""}, std::nullopt, true},
+      {"twice", 503, {"1", "2"}, 2000, false},
+      {"twice, the longer one first", 503, {"2", "1"}, 2000, false},
+      {"absurdly long", 503, {"1" + std::string(40, '0')}, 3'600'000, true},
+      {"a date that has passed",
+       503,
+       {"Sun, 06 Nov 1994 08:49:37 GMT"},
+       0,
+       false},
+      {"another upstream's response", 421, {"3"}, std::nullopt, false},
+      {"a response that turns nothing away", 500, {"3"}, std::nullopt, false},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    HttpHeaders headers;
+    for (const std::string& it : row.values) headers.Add("Retry-After", it);
+    ResponseFields fields = DecodeResponseFields(row.status, headers);
+    REQUIRE(fields.rest.has_value() == row.rest_ms.has_value());
+    if (row.rest_ms) CHECK(fields.rest->count() == *row.rest_ms);
+    CHECK(fields.has_malformed_rest == row.is_malformed);
+  }
+}
+
+TEST_CASE("an upstream states in any response of its own that it leaves") {
+  struct Row {
+    int status;
+    const char* value;
+    bool is_leaving;
+  };
+  const Row rows[] = {{200, "1", true},  {500, "1", true},     {503, "1", true},
+                      {404, "1", true},  {200, "0", false},    {200, "", false},
+                      {421, "1", false}, {200, nullptr, false}};
+  for (const Row& row : rows) {
+    CAPTURE(row.status);
+    HttpHeaders headers;
+    if (row.value != nullptr) headers.Add("Server-Leaving", row.value);
+    CHECK(DecodeResponseFields(row.status, headers).is_leaving ==
+          row.is_leaving);
+  }
+}
+
 TEST_CASE("a rate limit is one non-negative decimal number") {
   struct Row {
     const char* name;
