Add a failing test of the rest that an upstream asks for

The stand-in of a server names a rest in its refusals. Each further request reaches both upstreams again: 4 to 9 arrivals where 2 are allowed, and the Retry-After of the refusals is shorter than the rest (1.43 s of 1.50 s).

--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "../test_support.h"
+#include "Core/Common/text.h"
 #include "platform/testing/engine_stand_in.h"
 #include "platform/testing/store_stand_in.h"
 
@@ -604,7 +605,8 @@
   CrashReport report;
   uint64_t fingerprint = RequestFingerprint("w1", "/stream/x", "body");
   for (uint64_t upstream : {101, 102, 103})
-    report.entries.push_back({fingerprint, upstream, 1, false, false, false, 60'000});
+    report.entries.push_back(
+        {fingerprint, upstream, 1, false, false, false, 60'000});
   UdpSocket peer(&fixture.loop, [](std::string_view, const Endpoint&) {});
   REQUIRE(peer.Bind(fixture.EndpointAt(20)));
   peer.Send(EncodeMessage(report), fixture.router->peer_endpoint());
@@ -622,7 +624,8 @@
   CrashReport report;
   uint64_t fingerprint = RequestFingerprint("w1", "/stream/x", "body");
   for (uint64_t upstream : {101, 102, 103})
-    report.entries.push_back({fingerprint, upstream, 1, false, false, false, 60'000});
+    report.entries.push_back(
+        {fingerprint, upstream, 1, false, false, false, 60'000});
   // The agent beside engine-0.
   Endpoint agent = fixture.router->peer_endpoint();
   agent.ip = fixture.EndpointAt(2).ip;
@@ -692,6 +695,44 @@
 
 // Guards against routers that have not heard of an upstream's rate limit: only
 // the routers whose requests it answered are told.
+// Guards against sending requests to an upstream that has turned one away and
+// asked for rest, and against keeping callers when all upstreams rest.
+TEST_CASE("an upstream gets no request during the rest that it asks for",
+          "[fleet]") {
+  constexpr Milliseconds kRest{1500};
+  // Until the end of the rest, with time for the last request.
+  constexpr Milliseconds kChecked{1200};
+  RouterFixture fixture(97);
+  fixture.SetFault(EngineFault::kRefuse, 100);
+  for (auto& [id, engine] : fixture.engines) engine->SetRest("1.5");
+  auto arrivals = [&] {
+    int out = 0;
+    for (auto& [id, engine] : fixture.engines) out += engine->arrivals();
+    return out;
+  };
+  SteadyTime asked_at = EventLoop::Now();
+  CHECK(fixture.SendAndWait("/safe/x").head->status == 503);
+  CHECK(arrivals() == 2);
+  for (int i = 0; i < 8; ++i) {
+    CallResult result = fixture.SendAndWait("/safe/x");
+    if (EventLoop::Now() - asked_at > kChecked) break;
+    CHECK(result.head->status == 503);
+    CHECK(arrivals() == 2);
+    auto retry_after =
+        ParseDecimal(result.head->headers.Find("Retry-After").value_or(""));
+    REQUIRE(retry_after);
+    auto end =
+        std::chrono::duration<double>(asked_at + kRest - EventLoop::Now());
+    CHECK(*retry_after >= end.count());
+  }
+  // Another service is not affected, and the rest ends.
+  fixture.SetFault(EngineFault::kNone, 0);
+  CHECK(fixture.SendAndWait("/stream/x").head->status == 200);
+  RunUntil(&fixture.loop,
+           [&] { return fixture.SendAndWait("/safe/x").head->status == 200; });
+  CHECK(EventLoop::Now() - asked_at >= kRest);
+}
+
 TEST_CASE("routers tell each other the rate limits of upstreams", "[fleet]") {
   RouterFixture fixture(96);
   fixture.engines["engine-1"]->Unregister();
