Add a failing test of an upstream that states that it leaves

The stand-in says in its responses that it leaves, while its registration says ready; requests go on arriving there.

--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -733,6 +733,38 @@
   CHECK(EventLoop::Now() - asked_at >= kRest);
 }
 
+// Guards against sending new requests to an upstream that says in a response
+// that it leaves, whatever its registration says then.
+TEST_CASE("an upstream that states that it leaves gets no new request",
+          "[fleet]") {
+  RouterFixture fixture(98);
+  EngineStandIn& leaving = *fixture.engines.at("plain-0");
+  leaving.SetStatesLeaving(true);
+  RunUntil(&fixture.loop, [&] {
+    fixture.SendAndWait("/safe/x");
+    return leaving.arrivals() > 0;
+  });
+  int arrivals = leaving.arrivals();
+  for (int i = 0; i < 10; ++i)
+    CHECK(fixture.SendAndWait("/safe/x").head->status == 200);
+  CHECK(leaving.arrivals() == arrivals);
+  // The registration lapses and is back.
+  leaving.Unregister();
+  const UpstreamRegistry& registry = fixture.router->registry();
+  RunUntil(&fixture.loop, [&] { return registry.all().size() == 3; });
+  leaving.Register();
+  RunUntil(&fixture.loop, [&] { return registry.all().size() == 4; });
+  for (int i = 0; i < 10; ++i)
+    CHECK(fixture.SendAndWait("/safe/x").head->status == 200);
+  CHECK(leaving.arrivals() == arrivals);
+  // A new process has made no such statement.
+  leaving.Restart();
+  RunUntil(&fixture.loop, [&] {
+    fixture.SendAndWait("/safe/x");
+    return leaving.arrivals() > arrivals;
+  });
+}
+
 TEST_CASE("routers tell each other the rate limits of upstreams", "[fleet]") {
   RouterFixture fixture(96);
   fixture.engines["engine-1"]->Unregister();
