Send upstreams nothing during the rest that they ask for

What callers saw: some waited for a detour by an upstream that had said it would take nothing; the upstream got 6 and 8 requests in 3 s of rest.

Cause: Retry-After of a refusal is not read. A refusal marks the upstream as full until its agent's next status, 0.3 to 0.5 s later, after which it looks idle again. Class: what an upstream states for a time is not kept for that time. Ruled out by the record: sends that bypass a known rest (they are first attempts), and a lost registration (none changes).

Change: UpstreamRests keeps for each process, by id and start time, the longest end of the rests it stated. Placement leaves these upstreams out for first sends, retries and resumed streams. If only they could serve a request, it is refused at once with at least the time to the first end. Routers return at different times within a tenth of the rest, each with a single request first. A rest is no failure and no evidence of a crash.

--- a/Source/Core/Fleet/placement_policy.h
+++ b/Source/Core/Fleet/placement_policy.h
@@ -37,6 +37,7 @@
   Milliseconds retry_after{0};
   size_t candidates = 0;    ///< Number of upstreams that were considered.
   size_t rate_limited = 0;  ///< Upstreams left out because of a rate limit.
+  size_t resting = 0;       ///< Upstreams left out because they rest.
 };
 
 /// Strategy for choosing upstreams; one instance per process. Not thread safe.
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -221,6 +221,8 @@
   const char* why = "no upstream available";
   if (placement.candidates > 0) {
     why = "all upstreams at capacity";
+  } else if (placement.resting > 0) {
+    why = "all upstreams rest";
   } else if (placement.rate_limited > 0) {
     why = "all upstreams at their rate limit";
   }
@@ -244,6 +246,7 @@
   placement_wait_ = placement.wait;
   placement_load_age_ = now - upstream->load_reported_at;
   upstream_id_ = upstream->record.id;
+  upstream_start_time_ms_ = upstream->StartTimeMs();
   last_upstream_ = upstream_id_;
   tried_upstreams_.insert(upstream_id_);
   UpstreamFields fields;
@@ -299,6 +302,7 @@
   framer_.Reset();
   state_->registry.OnSent(upstream_id_, now);
   state_->rate_limits.OnSent(*upstream, WallClockMs());
+  state_->rests.OnSent(*upstream, now);
   sent_as_suspect_ = false;
   if (is_suspect_) {
     sent_as_suspect_ = !state_->crash_correlator.HasActiveSuspect(upstream_id_);
@@ -328,6 +332,8 @@
   state_->registry.OnProgress(upstream_id_, now);
   if (const FleetUpstream* upstream = state_->registry.Find(upstream_id_))
     state_->rate_limits.OnResponse(*upstream, response, sent_at_, now);
+  state_->rests.OnResponse(upstream_id_, upstream_start_time_ms_, response,
+                           sent_at_, state_->RandomFraction(), now);
   if (response.load) {
     state_->registry.RecordResponseLoad(upstream_id_, *response.load, now);
   }
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -113,6 +113,7 @@
   MonotonicTime sent_at_{0};
   // When the current attempt's successful response began.
   std::optional<MonotonicTime> response_began_at_;
+  int64_t upstream_start_time_ms_ = 0;    // Of the current attempt's upstream.
   uint64_t attempt_weights_version_ = 0;  // 0 if none are needed.
   MonotonicTime last_data_at_{
       0};  // When the current attempt last received bytes.
--- a/Source/Core/Router/fleet_request_placement.cc
+++ b/Source/Core/Router/fleet_request_placement.cc
@@ -43,8 +43,12 @@
 Placement FleetRequest::ChoosePlacement(MonotonicTime now) {
   auto candidates = FindCandidates(now);
   size_t all = candidates.size();
-  auto time_to_request =
-      state_->rate_limits.RemoveLimited(&candidates, now, WallClockMs());
+  auto time_to_request = state_->rests.RemoveResting(&candidates, now);
+  size_t awake = candidates.size();
+  if (auto time =
+          state_->rate_limits.RemoveLimited(&candidates, now, WallClockMs())) {
+    time_to_request = std::min(time_to_request.value_or(*time), *time);
+  }
   PlacementRequest request;
   request.route = route_;
   request.service = service_;
@@ -59,8 +63,9 @@
   request.response_started = event_count_ > 0;
   Placement out = state_->policy->Choose(candidates, request, now);
   out.candidates = candidates.size();
-  out.rate_limited = all - candidates.size();
-  // Without a candidate, only the limited upstreams can serve the request.
+  out.resting = all - awake;
+  out.rate_limited = awake - candidates.size();
+  // Without a candidate, only resting or limited upstreams can serve it.
   if (candidates.empty())
     out.retry_after = time_to_request.value_or(Milliseconds(0));
   return out;
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -154,6 +154,7 @@
       kRateLimitReportPeriod, [this] { ReportRateLimits(state_.Now()); });
   rate_limit_log_timer_ = loop_->Every(kRateLimitLogPeriod, [this] {
     state_.rate_limits.Update(state_.registry, state_.Now());
+    state_.rests.RemoveExpired(state_.Now());
   });
   request_check_timer_ =
       loop_->Every(kRequestCheckPeriod, [this] { CheckRequests(); });
--- a/Source/Core/Router/fleet_router_metrics.cc
+++ b/Source/Core/Router/fleet_router_metrics.cc
@@ -133,6 +133,10 @@
           return static_cast<double>(state_.rate_limits.counters().*row.member);
         });
   }
+  metrics_.AddGauge("primrosecove_router_resting_upstreams",
+                    "Upstreams that rest or have just rested", {}, [this] {
+                      return static_cast<double>(state_.rests.size());
+                    });
   metrics_.AddGauge("primrosecove_router_rate_limited_upstreams",
                     "Upstreams with a rate limit", {}, [this] {
                       return static_cast<double>(state_.rate_limits.size());
--- a/Source/Core/Router/fleet_state.h
+++ b/Source/Core/Router/fleet_state.h
@@ -17,6 +17,7 @@
 #include "Core/Fleet/route_table.h"
 #include "Core/Fleet/upstream_rate_limits.h"
 #include "Core/Fleet/upstream_registry.h"
+#include "Core/Fleet/upstream_rests.h"
 #include "Core/Net/http1_client.h"
 #include "Core/Router/crash_correlator.h"
 
@@ -55,6 +56,7 @@
   ConfigFreshness freshness{FleetBounds{}};
   UpstreamRegistry registry;
   UpstreamRateLimits rate_limits;
+  UpstreamRests rests;
   CrashCorrelator crash_correlator;
   MinimumVersion minimum_versions{Milliseconds(0)};
   std::unique_ptr<PlacementPolicy> policy;
