Send no new requests to upstreams that state that they leave

Cause: Server-Leaving is forwarded unread; only the registration counts.

Change: the registry keeps the statement by the upstream's id and start time, apart from its registration, so that it holds when an entry lapses, comes back or is read late, and ends with a new start. Such an upstream gets no first sends, retries or resumed streams at once; requests in flight go on. Its end is no crash. Agents learn of it as of a registration that says so. A misdirected response does not count.

--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -25,6 +25,8 @@
 // A process that goes on writing is alive.
 constexpr Milliseconds kMaxWriteDelay{10'000};
 constexpr int kWritesOfLiveProcess = 3;
+// A process that is leaving ends within less.
+constexpr Milliseconds kLeavingStatementLifetime{600'000};
 
 const LoadedWeights* FullyLoadedWeights(const UpstreamRecord& record,
                                         const std::string& model) {
@@ -77,12 +79,14 @@
           upstream.status->start_time_ms == change.record->start_time_ms) {
         upstream.status.reset();
       }
-      RecordCrash(upstream, CrashEvidence::kRestarted);
+      if (!upstream.IsLeaving())
+        RecordCrash(upstream, CrashEvidence::kRestarted);
       upstream.status.reset();
       upstream.refuses_connections = false;
     }
     upstream.record = *change.record;
     upstream.registration_expires_at.reset();
+    UpdateStatesLeaving(&upstream);
     if (!changed) return;
     uint64_t version = upstream.record.weights.empty()
                            ? 0
@@ -101,8 +105,8 @@
   PC_INFO(kMembership, "event=upstream_unregistered id="
                            << change.id << " settled=" << settled << " why=\""
                            << change.unusable_reason << "\"");
-  if (settled || it->second.record.leaving) {
-    if (!it->second.record.leaving) {
+  if (settled || it->second.IsLeaving()) {
+    if (!it->second.IsLeaving()) {
       RecordCrash(it->second, CrashEvidence::kRegistrationEnded);
     }
     upstreams_.erase(it);
@@ -122,7 +126,8 @@
                            ? other.start_time_ms < record.start_time_ms
                            : now - it.second.registered_at > kMaxReadTime;
     if (!is_replaced) return false;
-    if (!other.leaving) RecordCrash(it.second, CrashEvidence::kReplaced);
+    if (!it.second.IsLeaving())
+      RecordCrash(it.second, CrashEvidence::kReplaced);
     replaced_[it.first] = {now, 0};
     return true;
   });
@@ -152,7 +157,7 @@
     bool stopped = was_reachable &&
                    (!status.reachable ||
                     upstream.status->start_time_ms != status.start_time_ms);
-    if (stopped && !upstream.record.leaving) {
+    if (stopped && !upstream.IsLeaving()) {
       RecordCrash(upstream, status.reachable ? CrashEvidence::kRestarted
                                              : CrashEvidence::kUnreachable);
     }
@@ -167,6 +172,7 @@
     upstream.router_count =
         std::max<int>(static_cast<int>(status.active_routers), 1);
     upstream.status = status;
+    UpdateStatesLeaving(&upstream);
     upstream.reload_at.reset();
     if (status.reload_in_ms != UpstreamStatus::kNoReloadPlanned) {
       upstream.reload_at = now + Milliseconds(status.reload_in_ms);
@@ -226,11 +232,37 @@
 void UpstreamRegistry::OnConnectionRefused(const std::string& id) {
   FleetUpstream* upstream = Find(id);
   // A leaving upstream refuses connections before it ends.
-  if (upstream == nullptr || upstream->record.leaving) return;
+  if (upstream == nullptr || upstream->IsLeaving()) return;
   if (std::exchange(upstream->refuses_connections, true)) return;
   RecordCrash(*upstream, CrashEvidence::kRefusesConnections);
 }
 
+void UpstreamRegistry::OnStatedLeaving(const std::string& id,
+                                       int64_t start_time_ms,
+                                       MonotonicTime now) {
+  LeavingStatement& statement = leaving_statements_[id];
+  statement.start_time_ms = std::max(statement.start_time_ms, start_time_ms);
+  statement.made_at = now;
+  FleetUpstream* upstream = Find(id);
+  bool was_known = upstream != nullptr && upstream->states_leaving;
+  if (upstream != nullptr) UpdateStatesLeaving(upstream);
+  if (was_known) return;
+  PC_INFO(kMembership, "event=upstream_states_leaving id="
+                           << id << " started=" << statement.start_time_ms
+                           << " registered=" << (upstream != nullptr));
+}
+
+void UpstreamRegistry::UpdateStatesLeaving(FleetUpstream* upstream) const {
+  auto it = leaving_statements_.find(upstream->record.id);
+  if (it == leaving_statements_.end()) {
+    upstream->states_leaving = false;
+    return;
+  }
+  int64_t stated = it->second.start_time_ms;
+  int64_t present = upstream->StartTimeMs();
+  upstream->states_leaving = stated == 0 || present == 0 || stated >= present;
+}
+
 void UpstreamRegistry::OnRefused(const std::string& id, MonotonicTime now) {
   FleetUpstream* upstream = Find(id);
   if (upstream == nullptr) return;
@@ -265,10 +297,14 @@
                    now >= *it.second.registration_expires_at;
     if (expired) {
       PC_INFO(kMembership, "event=upstream_expired id=" << it.first);
-      RecordCrash(it.second, CrashEvidence::kRegistrationEnded);
+      if (!it.second.IsLeaving())
+        RecordCrash(it.second, CrashEvidence::kRegistrationEnded);
     }
     return expired;
   });
+  std::erase_if(leaving_statements_, [now](const auto& it) {
+    return now - it.second.made_at > kLeavingStatementLifetime;
+  });
 }
 
 std::vector<FleetUpstream*> UpstreamRegistry::Usable(const std::string& service,
@@ -276,7 +312,7 @@
   std::vector<FleetUpstream*> out;
   std::vector<FleetUpstream*> ejected;
   for (auto& [id, upstream] : upstreams_) {
-    if (upstream.record.service != service || upstream.record.leaving) continue;
+    if (upstream.record.service != service || upstream.IsLeaving()) continue;
     bool has_status =
         upstream.status && now - upstream.status_received_at < kStatusLifetime;
     // A loading engine accepts no requests until its running ones have ended.
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -42,10 +42,15 @@
   MonotonicTime ejected_until{-1'000'000};
   MonotonicTime last_success{-1'000'000};
   bool refuses_connections = false;  ///< Since it last sent data.
+  /// Its process has stated in a response that it is leaving.
+  bool states_leaving = false;
   /// The time at which the upstream last sent data to this router, or got a
   /// request while this router had no other request in flight there.
   MonotonicTime last_progress{-1'000'000};
 
+  /// Returns whether it gets no new requests because its process is leaving,
+  /// by its registration or its responses.
+  bool IsLeaving() const { return record.leaving || states_leaving; }
   /// Returns the Unix time in ms at which its process started, by its
   /// registration or its agent's status; 0 if unknown.
   int64_t StartTimeMs() const;
@@ -107,9 +112,15 @@
   void OnConnectionRefused(const std::string& id);
   /// Records that the upstream refused a request without running it.
   void OnRefused(const std::string& id, MonotonicTime now);
+  /// Records that a process of an upstream has stated in a response that it is
+  /// leaving; `start_time_ms` is 0 if unknown. The statement outlives the
+  /// upstream's registration, which may lapse and return.
+  void OnStatedLeaving(const std::string& id, int64_t start_time_ms,
+                       MonotonicTime now);
   /// Returns the crashes that were detected since the last call.
   std::vector<UpstreamCrash> PopCrashes();
-  /// Removes the upstreams whose registration grace is over.
+  /// Removes the upstreams whose registration grace is over, and old statements
+  /// of processes that have left.
   void Expire(MonotonicTime now);
 
   /// Returns the upstreams of a service that may get new requests at `now`.
@@ -124,12 +135,20 @@
 
  private:
   void RecordCrash(const FleetUpstream& upstream, CrashEvidence evidence);
+  // Determines whether the upstream's present process has stated that it is
+  // leaving.
+  void UpdateStatesLeaving(FleetUpstream* upstream) const;
   // An upstream whose address another process has taken.
   struct ReplacedUpstream {
     MonotonicTime at{0};
     int writes = 0;  // Of its registration since.
   };
 
+  struct LeavingStatement {
+    int64_t start_time_ms = 0;  // Of the process; 0 if unknown.
+    MonotonicTime made_at{0};
+  };
+
   // Removes the upstreams whose process must have ended because that of
   // `record`, which has just been seen, started later at the same address.
   void RemoveReplaced(const UpstreamRecord& record, MonotonicTime now);
@@ -138,6 +157,7 @@
 
   std::map<std::string, FleetUpstream> upstreams_;
   std::map<std::string, ReplacedUpstream> replaced_;
+  std::map<std::string, LeavingStatement> leaving_statements_;  // By id.
   std::vector<UpstreamCrash> crashes_;
 };
 
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -332,6 +332,10 @@
   state_->registry.OnProgress(upstream_id_, now);
   if (const FleetUpstream* upstream = state_->registry.Find(upstream_id_))
     state_->rate_limits.OnResponse(*upstream, response, sent_at_, now);
+  if (response.is_leaving) {
+    state_->registry.OnStatedLeaving(upstream_id_, upstream_start_time_ms_,
+                                     now);
+  }
   state_->rests.OnResponse(upstream_id_, upstream_start_time_ms_, response,
                            sent_at_, state_->RandomFraction(), now);
   if (response.load) {
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -320,7 +320,7 @@
       update.members.push_back(
           {id, upstream.record.endpoint, upstream.record.zone,
            UpstreamRegistry::ServedVersion(upstream, model.name, now),
-           upstream.record.leaving});
+           upstream.IsLeaving()});
     }
     out.push_back(std::move(update));
   }
