--- a/Source/UnitTests/Net/http1_test.cc
+++ b/Source/UnitTests/Net/http1_test.cc
@@ -1,12 +1,8 @@
 // Tests the HTTP/1.1 client and server against the bytes that faulty peers
 // send.
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
-#include <sys/socket.h>
-
 #include <catch2/catch.hpp>
 
+#include "../raw_server.h"
 #include "../test_support.h"
 #include "Core/Net/http1_client.h"
 #include "Core/Net/http1_server.h"
@@ -14,84 +10,14 @@
 namespace primrosecove {
 namespace {
 
-// Sends the next scripted response to each request head that it receives: raw
-// bytes, then optionally a close or reset of the connection.
-class RawServer {
- public:
-  enum class End { kKeepOpen, kClose, kReset };
-  struct ScriptedResponse {
-    std::string bytes;
-    End end = End::kKeepOpen;
-  };
-
-  RawServer(EventLoop* loop, const Endpoint& endpoint) : loop_(loop) {
-    sockaddr_in address = endpoint.ToSockaddr();
-    listener_ = evconnlistener_new_bind(
-        loop->base(), OnAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-        16, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    REQUIRE(listener_ != nullptr);
-  }
-  ~RawServer() {
-    for (bufferevent* it : open_) bufferevent_free(it);
-    evconnlistener_free(listener_);
-  }
-  void Add(ScriptedResponse response) {
-    responses_.push_back(std::move(response));
-  }
-  int accepted() const { return accepted_; }
-
- private:
-  static void OnAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int,
-                       void* arg) {
-    auto* self = static_cast<RawServer*>(arg);
-    ++self->accepted_;
-    bufferevent* bev =
-        bufferevent_socket_new(self->loop_->base(), fd, BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_setcb(bev, OnRead, OnWritten, nullptr, self);
-    bufferevent_enable(bev, EV_READ | EV_WRITE);
-    self->open_.push_back(bev);
-  }
-  static void OnRead(bufferevent* bev, void* arg) {
-    auto* self = static_cast<RawServer*>(arg);
-    evbuffer* in = bufferevent_get_input(bev);
-    if (evbuffer_search(in, "\r\n\r\n", 4, nullptr).pos < 0) return;
-    evbuffer_drain(in, evbuffer_get_length(in));
-    if (self->responses_.empty()) return;
-    ScriptedResponse response = self->responses_.front();
-    self->responses_.pop_front();
-    self->end_ = response.end;
-    bufferevent_write(bev, response.bytes.data(), response.bytes.size());
-    if (response.bytes.empty()) OnWritten(bev, arg);
-  }
-  static void OnWritten(bufferevent* bev, void* arg) {
-    auto* self = static_cast<RawServer*>(arg);
-    End end = std::exchange(self->end_, End::kKeepOpen);
-    if (end == End::kKeepOpen) return;
-    std::erase(self->open_, bev);
-    if (end == End::kClose) return bufferevent_free(bev);
-    // A reset discards bytes that the client has not read, so it is delayed.
-    self->resets_.push_back(self->loop_->After(Milliseconds(60), [bev] {
-      linger reset{1, 0};
-      setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_LINGER, &reset,
-                 sizeof(reset));
-      bufferevent_free(bev);
-    }));
-  }
-
-  EventLoop* loop_;
-  evconnlistener* listener_;
-  std::vector<bufferevent*> open_;
-  std::deque<ScriptedResponse> responses_;
-  std::vector<Timer> resets_;
-  End end_ = End::kKeepOpen;
-  int accepted_ = 0;
-};
+constexpr uint64_t kMaxBodyBytes = 1 << 20;
 
 CallResult SendRequest(EventLoop* loop, Http1Client* client,
                        const Endpoint& endpoint, const std::string& id) {
   std::optional<CallResult> out;
   CallOptions options;
   options.timeout = Milliseconds(400);
+  options.max_body_bytes = kMaxBodyBytes;
   options.echo_header = "Request-Id";
   options.echo_value = id;
   CallEvents events;
@@ -186,6 +112,51 @@
   }
 }
 
+// Guards against a server that sends bytes until its client closes: they would
+// fill the memory, or keep the call beyond its timeout.
+TEST_CASE("a response without end is cut off, in its head or its body",
+          "[http1]") {
+  struct Row {
+    const char* name;
+    std::string bytes;
+    std::string repeated;
+    Milliseconds period;
+    CallEnd end;
+  };
+  const std::string kOk = "HTTP/1.1 200 OK\r\n";
+  const std::string kBlock(64 << 10, 'x');
+  const Row rows[] = {
+      {"a body without length", kOk + "\r\n", kBlock, Milliseconds(0),
+       CallEnd::kMalformed},
+      {"chunks", kOk + "Transfer-Encoding: chunked\r\n\r\n",
+       "10000\r\n" + kBlock + "\r\n", Milliseconds(0), CallEnd::kMalformed},
+      {"a length beyond the limit", kOk + "Content-Length: 99999999999\r\n\r\n",
+       kBlock, Milliseconds(0), CallEnd::kMalformed},
+      {"header fields", kOk, "X-Field: " + std::string(1000, 'x') + "\r\n",
+       Milliseconds(0), CallEnd::kMalformed},
+      {"one header field", kOk + "X-Field: ", kBlock, Milliseconds(0),
+       CallEnd::kMalformed},
+      {"a status line", "HTTP/1.1 200 ", kBlock, Milliseconds(0),
+       CallEnd::kMalformed},
+      {"informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n",
+       Milliseconds(0), CallEnd::kTimeout},
+      {"a body, slowly", kOk + "\r\n", "x", Milliseconds(5), CallEnd::kTimeout},
+      {"a head, slowly", kOk + "X-Field: ", "x", Milliseconds(5),
+       CallEnd::kTimeout},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    EventLoop loop;
+    Http1Client client(&loop);
+    RawServer server(&loop, TestEndpoint(95, 1));
+    server.Add(
+        {row.bytes, RawServer::End::kKeepOpen, row.repeated, row.period});
+    CallResult result = SendRequest(&loop, &client, TestEndpoint(95, 1), "1");
+    CHECK(result.end == row.end);
+    CHECK(result.body.size() <= kMaxBodyBytes);
+  }
+}
+
 TEST_CASE("a connection with unread bytes is not reused", "[http1]") {
   struct Row {
     const char* name;
--- a/Source/UnitTests/Net/http_test.cc
+++ b/Source/UnitTests/Net/http_test.cc
@@ -4,6 +4,7 @@
 
 #include "Core/Net/http_client.h"
 #include "Core/Net/http_server.h"
+#include "UnitTests/raw_server.h"
 #include "UnitTests/test_support.h"
 
 namespace primrosecove {
@@ -229,6 +230,39 @@
   RunUntil(&loop, [&] { return failed; });
 }
 
+// Guards against a server that sends bytes until its client closes.
+TEST_CASE("the evhttp client cuts off a response without end", "[net]") {
+  struct Row {
+    const char* name;
+    std::string bytes;
+    std::string repeated;
+  };
+  const std::string kBlock(64 << 10, 'x');
+  const Row rows[] = {
+      {"a body", "HTTP/1.1 200 OK\r\n\r\n", kBlock},
+      {"header fields", "HTTP/1.1 200 OK\r\n",
+       "X-Field: " + kBlock.substr(0, 1000) + "\r\n"},
+      {"one header field", "HTTP/1.1 200 OK\r\nX-Field: ", kBlock},
+  };
+  constexpr size_t kMaxRepeatedBytes = 8 << 20;
+  for (const Row& row : rows) {
+    INFO(row.name);
+    EventLoop loop;
+    HttpClient client(&loop);
+    RawServer server(&loop, TestEndpoint(94, 1));
+    server.Add({row.bytes, RawServer::End::kKeepOpen, row.repeated});
+    bool failed = false;
+    HttpCallbacks callbacks;
+    callbacks.on_failure = [&](const HttpFailure&) { failed = true; };
+    HttpCallLimits limits;
+    limits.timeout = Milliseconds(2000);
+    limits.max_body_bytes = 1 << 20;
+    auto call = client.Send(TestEndpoint(94, 1), {}, limits, callbacks);
+    RunUntil(&loop, [&] { return failed; });
+    CHECK(server.repeated_bytes() <= kMaxRepeatedBytes);
+  }
+}
+
 TEST_CASE("a failed call reports how far it proceeded", "[net]") {
   EventLoop loop;
   std::shared_ptr<HttpExchange> server_exchange;
--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "../raw_server.h"
 #include "../test_support.h"
 #include "Core/Common/text.h"
 #include "platform/testing/engine_stand_in.h"
@@ -76,7 +77,9 @@
             {"routes",
              {RouteJson("/stream/", "streaming", "llm", 2),
               RouteJson("/once/", "unsafe", "desk", 1),
-              RouteJson("/safe/", "safe", "desk", 2)}},
+              RouteJson("/safe/", "safe", "desk", 2),
+              RouteJson("/raw/", "safe", "raw", 1),
+              RouteJson("/raw-stream/", "streaming", "raw", 1)}},
             {"services",
              {{{"name", "llm"},
                {"max_conns", 50},
@@ -85,7 +88,8 @@
                  {"models", {{{"name", "m"}, {"warm_s", 0.01}}}},
                  {"chunks", 4},
                  {"chunk_bytes", 512}}}},
-              {{"name", "desk"}, {"max_conns", 50}}}},
+              {{"name", "desk"}, {"max_conns", 50}},
+              {{"name", "raw"}, {"max_conns", 50}}}},
             {"tenants", {{{"name", "w1"}, {"api_keys", {kApiKey}}}}},
             {"limits", {{"idle_timeout_ms", 15000}}}};
   }
@@ -765,6 +769,103 @@
   });
 }
 
+// Guards against responses that end with their connection and are taken for
+// whole, or for cut off, and against those without end, which would fill the
+// memory of the router.
+TEST_CASE("responses of unusual length reach the caller whole or as failures",
+          "[fleet]") {
+  using End = RawServer::End;
+  struct Row {
+    const char* name;
+    const char* path;
+    RawServer::ScriptedResponse response;
+    CallEnd end;
+    int status;
+    std::string body;
+  };
+  const std::string kHead = "HTTP/1.1 200 OK\r\nServer-Signature: s\r\n";
+  const std::string kEvent = "id: 1\ndata: token\n\n";
+  const std::string kBlock(64 << 10, 'x');
+  const Row rows[] = {
+      {"ends with its connection",
+       "/raw/x",
+       {kHead + "\r\nabc", End::kClose},
+       CallEnd::kComplete,
+       200,
+       "abc"},
+      {"ends with a reset",
+       "/raw/x",
+       {kHead + "\r\nabc", End::kReset},
+       CallEnd::kComplete,
+       502,
+       ""},
+      {"a stream that ends with its connection",
+       "/raw-stream/x",
+       {kHead + "\r\n" + kEvent, End::kClose},
+       CallEnd::kComplete,
+       200,
+       kEvent},
+      {"a stream that ends with a reset",
+       "/raw-stream/x",
+       {kHead + "\r\n" + kEvent, End::kReset},
+       CallEnd::kConnectionLost,
+       200,
+       kEvent},
+      {"a stream that ends inside an event",
+       "/raw-stream/x",
+       {kHead + "\r\n" + kEvent + "id: 2\nda", End::kClose},
+       CallEnd::kConnectionLost,
+       200,
+       kEvent},
+      {"a body without end",
+       "/raw/x",
+       {kHead + "\r\n", End::kKeepOpen, kBlock},
+       CallEnd::kComplete,
+       502,
+       ""},
+      {"a head without end",
+       "/raw/x",
+       {kHead, End::kKeepOpen, "X-Field: x\r\n"},
+       CallEnd::kComplete,
+       502,
+       ""},
+      {"an event without end",
+       "/raw-stream/x",
+       {kHead + "\r\n" + kEvent + "id: 2\ndata: ", End::kKeepOpen, kBlock},
+       CallEnd::kConnectionLost,
+       200,
+       kEvent},
+  };
+  constexpr size_t kMaxRepeatedBytes = 16 << 20;
+  RouterFixture fixture(99);
+  for (const Row& row : rows) {
+    INFO(row.name);
+    RawServer server(&fixture.loop, fixture.EndpointAt(7));
+    server.Add(row.response);
+    nlohmann::json entry = {{"service", "raw"},
+                            {"address", fixture.EndpointAt(7).ToString()},
+                            {"zone", "z1"},
+                            {"version", "v1"},
+                            {"slots", 4},
+                            {"state", "ready"},
+                            {"cold_remaining_ms", 0},
+                            {"sequence", 1}};
+    fixture.store.Put("servers/raw", entry.dump());
+    const UpstreamRegistry& registry = fixture.router->registry();
+    RunUntil(&fixture.loop, [&] { return registry.all().contains("raw"); });
+    CallResult result = fixture.SendAndWait(row.path);
+    CHECK(result.end == row.end);
+    // The reset may overtake the events before it.
+    bool has_lost_events =
+        row.end == CallEnd::kConnectionLost && result.body.empty();
+    if (result.head) CHECK(result.head->status == row.status);
+    CHECK((has_lost_events || result.body == row.body));
+    CHECK(server.repeated_bytes() <= kMaxRepeatedBytes);
+    fixture.store.Remove("servers/raw");
+    RunUntil(&fixture.loop, [&] { return !registry.all().contains("raw"); });
+  }
+}
+
 TEST_CASE("routers tell each other the rate limits of upstreams", "[fleet]") {
   RouterFixture fixture(96);
   fixture.engines["engine-1"]->Unregister();
