Limit the size of responses that are kept in memory

What it does to callers: an upstream that sends bytes without end fills its router's memory until the caller's deadline, 537 to 736 MB in one request, and ends all others with it.

Cause: Http1Client has a limit for bodies but never compared against it; the router collects a response, or an event of a stream, without a limit of its own. Class: a limit that is declared and enforced by nobody.

Change: a collected body beyond the limit (4 MiB) ends the call as malformed and closes the connection; the router ends an attempt whose response exceeds 4 MiB or whose event exceeds 1 MiB. Heads were bounded already (64 KiB); informational responses and slow bytes end with the deadline.

The tests 'a response without end is cut off, in its head or its body' and 'responses of unusual length reach the caller whole or as failures' failed before and pass now.

--- a/Source/Core/Net/http1_client.cc
+++ b/Source/Core/Net/http1_client.cc
@@ -112,6 +112,7 @@
   bool parsing_ = false;
   uint64_t call_number_ = 0;
   bool response_complete_ = false;
+  bool body_too_large_ = false;
   bool skipping_ = false;
   std::string request_bytes_;
   std::unique_ptr<Http1Parser> parser_;
@@ -172,6 +173,7 @@
   };
   events.on_complete = [this] { response_complete_ = true; };
   response_complete_ = false;
+  body_too_large_ = false;
   skipping_ = false;
   parser_ = std::make_unique<Http1Parser>(Http1Parser::Kind::kResponse,
                                           kMaxResponseHeadBytes, events);
@@ -226,7 +228,8 @@
     // A callback of the call has cancelled it.
     if (!busy_) return Close();
     evbuffer_drain(in, used);
-    if (parser_->failed()) return Finish(CallEnd::kMalformed);
+    if (parser_->failed() || body_too_large_)
+      return Finish(CallEnd::kMalformed);
     if (response_complete_) FinishResponse();
   }
 }
@@ -252,7 +255,9 @@
     auto on_data = events_.on_data;
     return on_data(body_data);
   }
-  result_.body.append(body_data);
+  if (body_data.size() > options_.max_body_bytes - result_.body.size())
+    body_too_large_ = true;
+  if (!body_too_large_) result_.body.append(body_data);
 }
 
 void Http1Connection::FinishResponse() {
--- a/Source/Core/Net/http1_client.h
+++ b/Source/Core/Net/http1_client.h
@@ -25,7 +25,8 @@
   kComplete,        ///< The complete response was received.
   kNotSent,         ///< No byte of the request left this host.
   kConnectionLost,  ///< The connection ended before the end of the response.
-  kMalformed,       ///< The received bytes are not a valid HTTP response.
+  kMalformed,       ///< The received bytes are not a valid HTTP response, or
+                    ///< exceed a limit.
   kTimeout,         ///< The timeout passed; the request may have been served.
 };
 
@@ -51,7 +52,8 @@
   /// Opens a new connection. On a reused connection a request can be lost
   /// without notice.
   bool fresh_connection = false;
-  uint64_t max_body_bytes = 16 << 20;
+  /// Limits a body that is collected in the result.
+  uint64_t max_body_bytes = 4 << 20;
   /// Skips a response in which the header of this name differs from
   /// `echo_value`, because it belongs to an earlier request. Empty: not
   /// checked.
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -17,6 +17,10 @@
 // Failed connections after which a request is given up. Nothing was sent on
 // them, so they don't count as attempts.
 constexpr int kMaxFailedConnections = 3;
+// A response that is not a stream, and one event of a stream, are kept in
+// memory until they are complete.
+constexpr size_t kMaxResponseBytes = 4 << 20;
+constexpr size_t kMaxEventBytes = 1 << 20;
 constexpr int kStatusOk = 200;
 constexpr int kStatusMultipleChoices = 300;
 constexpr int kStatusServerError = 500;
@@ -360,10 +364,19 @@
   last_data_at_ = state_->Now();
   state_->registry.OnProgress(upstream_id_, state_->Now());
   if (!streaming_) {
+    if (bytes.size() > kMaxResponseBytes - response_body_.size())
+      return CutOffAttempt("response too large");
     response_body_.append(bytes);
     return;
   }
   framer_.Push(bytes, [this](const StreamEvent& event) { OnEvent(event); });
+  if (framer_.partial_bytes() > kMaxEventBytes)
+    CutOffAttempt("event too large");
+}
+
+void FleetRequest::CutOffAttempt(const char* why) {
+  call_.reset();
+  OnAttemptFailure(why);
 }
 
 void FleetRequest::OnEvent(const StreamEvent& event) {
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -71,6 +71,8 @@
   void OnHead(const Http1Head& head);
   void OnData(std::string_view bytes);
   void OnEvent(const StreamEvent& event);
+  // Ends the current attempt, whose response exceeds a limit.
+  void CutOffAttempt(const char* why);
   void OnCallEnd(CallResult result);
   void OnCompleteResponse(const CallResult& result);
   void OnAttemptFailure(const char* why);
