Limit the heads of responses in the evhttp client

Cause: evhttp accepts heads of any size unless told otherwise, so a server that sends header fields without end fills the memory until the call's timeout (15 to 156 MB in 2 s). The same class as the bodies: a limit that nobody sets. Heads are limited to 64 KiB, as in Http1Client. The test 'the evhttp client cuts off a response without end' failed before and passes now.

--- a/Source/Core/Net/http_client.cc
+++ b/Source/Core/Net/http_client.cc
@@ -16,6 +16,8 @@
 namespace primrosecove {
 namespace {
 
+constexpr ev_ssize_t kMaxHeadBytes = 64 << 10;
+
 // Idle connections kept per endpoint.
 constexpr size_t kMaxIdleConnections = 64;
 // evhttp's own timeout is only a fallback, because a timer bounds each call.
@@ -238,6 +240,7 @@
     return std::make_unique<HttpCall>(state);
   }
   state->conn = impl_->AcquireConnection(endpoint);
+  evhttp_connection_set_max_headers_size(state->conn.get(), kMaxHeadBytes);
   evhttp_connection_set_max_body_size(
       state->conn.get(), static_cast<ev_ssize_t>(limits.max_body_bytes));
   state->req = evhttp_request_new(HttpCallState::OnDone, state.get());
