Spread the returns of callers refused for a part of their prompt

Refused callers were told the same moment, that of the part's next test, and would return together; the time is spread as for other refusals. A test whose caller leaves while its attempt runs counts as one that may have crashed its upstream, so that no other starts before that would be known.

--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -192,7 +192,8 @@
                        << " crashes=" << decision.crashes
                        << " retry_after_ms=" << decision.retry_after.count()
                        << " parts=" << PromptPartsForLog());
-  Refuse("a part of the prompt has crashed upstreams", decision.retry_after);
+  Refuse("a part of the prompt has crashed upstreams",
+         ComputeRetryAfter(decision.retry_after, state_->RandomFraction()));
   return false;
 }
 
@@ -491,8 +492,8 @@
 
 void FleetRequest::EndPromptPartTest() {
   if (!tested_prompt_part_) return;
-  bool may_have_crashed =
-      !is_sound_ && execution_state_ == ExecutionState::kMayHaveExecuted;
+  bool may_have_crashed = !is_sound_ && attempts_ > 0 &&
+                          execution_state_ != ExecutionState::kRefused;
   state_->crash_correlator.prompt_parts().EndTest(
       *tested_prompt_part_, may_have_crashed, state_->Now());
   tested_prompt_part_.reset();
