--- a/Source/UnitTests/Router/crash_containment_test.cc
+++ b/Source/UnitTests/Router/crash_containment_test.cc
@@ -11,8 +11,8 @@
 #include <random>
 #include <vector>
 
-#include "Core/Membership/crash_exchange.h"
 #include "Core/Router/crash_correlator.h"
+#include "crash_report_network.h"
 
 namespace primrosecove {
 namespace {
@@ -42,7 +42,6 @@
   Simulation(const Scenario& scenario, uint64_t seed)
       : scenario_(scenario), random_(seed) {
     for (size_t i = 0; i < kRouters; ++i) StartRouter(i);
-    relays_.resize(kRelays);
     for (size_t i = 0; i < kUpstreams; ++i)
       upstreams_.push_back(
           {"u" + std::to_string(i), 1, MonotonicTime(0), "", 0});
@@ -56,7 +55,7 @@
       routers_[n].disturbed_until = std::max(now_, routers_[n].cut_until);
     });
     Repeat(scenario.relay_restarts,
-           [this] { relays_[Random(kRelays)] = CrashRelay(); });
+           [this] { network_.RestartRelay(Random(kRelays)); });
     Repeat(scenario.cuts, [this] {
       Router& router = routers_[Random(kRouters)];
       router.cut_until = now_ + Milliseconds(4000);
@@ -139,65 +138,16 @@
              });
   }
 
-  void SendToRouter(size_t n, size_t relay, const FleetMessage& message) {
-    Carry(n, [this, n, relay, message] {
-      CrashCorrelator& correlator = *routers_[n].correlator;
-      if (const auto* report = std::get_if<CrashReport>(&message)) {
-        for (const auto& it : ReadCrashReport(*report, now_.count()))
-          correlator.AddRemoteObservation(it, now_);
-      } else if (const auto* report = std::get_if<LossReport>(&message)) {
-        correlator.AddRemoteLosses(*report, now_);
-      } else if (const auto* digest = std::get_if<CrashDigest>(&message)) {
-        for (const auto& it :
-             AnswerCrashDigest(correlator.table(), *digest, now_.count())) {
-          SendToRelay(n, relay, it);
-        }
-      }
-    });
-  }
-  void SendToRelay(size_t n, size_t relay, const FleetMessage& message) {
-    Carry(n, [this, n, relay, message] {
-      if (const auto* report = std::get_if<CrashReport>(&message)) {
-        for (auto& it : relays_[relay].OnReport(*report, now_.count()))
-          Forward(n, relay, it);
-      } else if (std::holds_alternative<LossReport>(message)) {
-        Forward(n, relay, message);
-      } else if (const auto* digest = std::get_if<CrashDigest>(&message)) {
-        for (auto& it : relays_[relay].OnDigest(*digest, now_.count()))
-          SendToRouter(n, relay, it);
-      }
-    });
-  }
-
-  // Carries a message from a relay to all routers but its sender.
-  void Forward(size_t sender, size_t relay, const FleetMessage& message) {
-    for (size_t n = 0; n < kRouters; ++n)
-      if (n != sender) SendToRouter(n, relay, message);
-  }
-
   void Tick() {
     for (size_t n = 0; n < kRouters; ++n) {
       std::optional<MonotonicTime> reachable_since;
       if (!IsCut(n)) reachable_since = routers_[n].cut_until;
       routers_[n].correlator->RemoveExpired(now_, reachable_since);
-      for (auto& it : MakeCrashReports(
-               routers_[n].correlator->PopNewObservations(), now_.count())) {
-        for (size_t relay = 0; relay < kRelays; ++relay)
-          SendToRelay(n, relay, it);
-      }
-      for (auto& it : routers_[n].correlator->PopNewLosses(now_)) {
-        for (size_t relay = 0; relay < kRelays; ++relay)
-          SendToRelay(n, relay, it);
-      }
+      network_.SendReports(n);
     }
   }
   void SendDigests() {
-    for (size_t n = 0; n < kRouters; ++n) {
-      CrashDigest digest{routers_[n].correlator->table().Digest(now_.count()),
-                         false};
-      for (size_t relay = 0; relay < kRelays; ++relay)
-        SendToRelay(n, relay, digest);
-    }
+    for (size_t n = 0; n < kRouters; ++n) network_.SendDigest(n);
   }
 
   void SendCrashingRequest() {
@@ -276,7 +226,13 @@
   MonotonicTime now_{0};
   std::multimap<MonotonicTime, std::function<void()>> events_;
   std::array<Router, kRouters> routers_;
-  std::vector<CrashRelay> relays_;
+  CrashReportNetwork network_{
+      kRelays,
+      {kRouters, [this] { return now_; },
+       [this](size_t n) -> CrashCorrelator& { return *routers_[n].correlator; },
+       [this](size_t n, std::function<void()> arrive) {
+         Carry(n, std::move(arrive));
+       }}};
   std::vector<Upstream> upstreams_;
   int crashes_ = 0;
   MonotonicTime third_crash_{0};
--- a/Source/UnitTests/Router/prompt_part_containment_test.cc
+++ b/Source/UnitTests/Router/prompt_part_containment_test.cc
@@ -15,8 +15,8 @@
 #include <set>
 #include <vector>
 
-#include "Core/Membership/crash_exchange.h"
 #include "Core/Router/crash_correlator.h"
+#include "crash_report_network.h"
 
 namespace primrosecove {
 namespace {
@@ -88,7 +88,6 @@
       : scenario_(scenario), screen_(screen), random_(seed) {
     routers_.resize(scenario.routers);
     for (size_t i = 0; i < routers_.size(); ++i) StartRouter(i);
-    relays_.resize(kRelays);
     upstreams_.resize(scenario.upstreams);
     for (size_t i = 0; i < upstreams_.size(); ++i)
       upstreams_[i].id = "u" + std::to_string(i);
@@ -233,51 +232,12 @@
          if (!IsCut(n) && routers_[n].starts == starts) action();
        });
   }
-  void SendToRouter(size_t n, size_t relay, const FleetMessage& message) {
-    Carry(n, [this, n, relay, message] {
-      CrashCorrelator& correlator = *routers_[n].correlator;
-      if (const auto* report = std::get_if<CrashReport>(&message)) {
-        for (const auto& it : ReadCrashReport(*report, now_.count()))
-          correlator.AddRemoteObservation(it, now_);
-      } else if (const auto* losses = std::get_if<LossReport>(&message)) {
-        correlator.AddRemoteLosses(*losses, now_);
-      } else if (const auto* digest = std::get_if<CrashDigest>(&message)) {
-        for (const auto& it :
-             AnswerCrashDigest(correlator.table(), *digest, now_.count()))
-          SendToRelay(n, relay, it);
-      }
-    });
-  }
-  void SendToRelay(size_t n, size_t relay, const FleetMessage& message) {
-    Carry(n, [this, n, relay, message] {
-      if (const auto* report = std::get_if<CrashReport>(&message)) {
-        for (auto& it : relays_[relay].OnReport(*report, now_.count()))
-          Forward(n, relay, it);
-      } else if (std::holds_alternative<LossReport>(message)) {
-        Forward(n, relay, message);
-      } else if (const auto* digest = std::get_if<CrashDigest>(&message)) {
-        for (auto& it : relays_[relay].OnDigest(*digest, now_.count()))
-          SendToRouter(n, relay, it);
-      }
-    });
-  }
-  void Forward(size_t sender, size_t relay, const FleetMessage& message) {
-    for (size_t n = 0; n < routers_.size(); ++n)
-      if (n != sender) SendToRouter(n, relay, message);
-  }
   void Tick() {
     for (size_t n = 0; n < routers_.size(); ++n) {
       std::optional<MonotonicTime> reachable_since;
       if (!IsCut(n)) reachable_since = routers_[n].cut_until;
-      CrashCorrelator& correlator = *routers_[n].correlator;
-      correlator.RemoveExpired(now_, reachable_since);
-      auto observations = correlator.PopNewObservations();
-      auto losses = correlator.PopNewLosses(now_);
-      for (size_t relay = 0; relay < kRelays; ++relay) {
-        for (auto& it : MakeCrashReports(observations, now_.count()))
-          SendToRelay(n, relay, it);
-        for (auto& it : losses) SendToRelay(n, relay, it);
-      }
+      routers_[n].correlator->RemoveExpired(now_, reachable_since);
+      network_.SendReports(n);
     }
     for (Upstream& upstream : upstreams_) {
       for (const RequestPtr& it : upstream.running) {
@@ -289,12 +249,7 @@
     }
   }
   void SendDigests() {
-    for (size_t n = 0; n < routers_.size(); ++n) {
-      CrashDigest digest{routers_[n].correlator->table().Digest(now_.count()),
-                         false};
-      for (size_t relay = 0; relay < kRelays; ++relay)
-        SendToRelay(n, relay, digest);
-    }
+    for (size_t n = 0; n < routers_.size(); ++n) network_.SendDigest(n);
   }
 
   // The n-th part is requested in proportion to 1 / sqrt(n).
@@ -520,7 +475,13 @@
   MonotonicTime now_{0};
   std::multimap<MonotonicTime, std::function<void()>> events_;
   std::vector<Router> routers_;
-  std::vector<CrashRelay> relays_;
+  CrashReportNetwork network_{
+      kRelays,
+      {scenario_.routers, [this] { return now_; },
+       [this](size_t n) -> CrashCorrelator& { return *routers_[n].correlator; },
+       [this](size_t n, std::function<void()> arrive) {
+         Carry(n, std::move(arrive));
+       }}};
   std::vector<Upstream> upstreams_;
   std::vector<Counted> counted_;
   std::vector<MonotonicTime> crash_times_;
