Name fingerprints of prompt parts and the screen apart

A newcomer would confuse the ids of a prompt's parts, their fingerprints and the screen that decides about them. The correlator classifies subjects, not only requests.

--- a/Source/Core/Router/crash_correlator.cc
+++ b/Source/Core/Router/crash_correlator.cc
@@ -16,9 +16,9 @@
 }  // namespace
 
 CrashCorrelator::CrashCorrelator(Milliseconds max_detection_time,
-                                 PromptPartScreen prompt_parts)
+                                 PromptPartScreen prompt_part_screen)
     : max_detection_time_(max_detection_time),
-      prompt_parts_(std::move(prompt_parts)),
+      prompt_part_screen_(std::move(prompt_part_screen)),
       last_loss_id_(RandomU64()) {}
 
 void CrashCorrelator::OnConnectionLost(const LostAttempt& attempt,
@@ -110,7 +110,7 @@
   if (!is_new) ++counters_.repeated_observations;
   observation.may_have_been_queued = !attempt.responding_time;
   for (uint64_t part : attempt.prompt_parts) {
-    auto sound_at = prompt_parts_.LastSoundAt(part);
+    auto sound_at = prompt_part_screen_.LastSoundAt(part);
     if (sound_at && *sound_at >= lost_connection.at) continue;
     observation.subject = part;
     if (!AddObservation(observation, now)) continue;
@@ -118,16 +118,16 @@
             "event=prompt_part_sighted part="
                 << part << " upstream=" << attempt.upstream_id
                 << " crashes=" << table_.CountCrashes(part, now.count()).crashes
-                << " verdict=" << static_cast<int>(ClassifyRequest(part, now)));
+                << " verdict=" << static_cast<int>(Classify(part, now)));
   }
   if (!is_new && lost_connection.is_remote) return false;
-  PC_WARN(kRouter,
-          "event=crash_sighted request="
-              << attempt.request << " upstream=" << attempt.upstream_id
-              << " as_suspect=" << attempt.as_suspect << " new=" << is_new
-              << " remote=" << lost_connection.is_remote << " delay_ms="
-              << (now - lost_connection.at).count() << " verdict="
-              << static_cast<int>(ClassifyRequest(attempt.request, now)));
+  PC_WARN(kRouter, "event=crash_sighted request="
+                       << attempt.request << " upstream=" << attempt.upstream_id
+                       << " as_suspect=" << attempt.as_suspect << " new="
+                       << is_new << " remote=" << lost_connection.is_remote
+                       << " delay_ms=" << (now - lost_connection.at).count()
+                       << " verdict="
+                       << static_cast<int>(Classify(attempt.request, now)));
   return is_new;
 }
 
@@ -145,8 +145,8 @@
   MonotonicTime sound_at =
       std::min(now, response_began_at + PromptPartScreen::kSoundExecutionTime);
   for (uint64_t part : prompt_parts) {
-    prompt_parts_.RecordSound(part, sound_at);
-    if (ClassifyRequest(part, now) != SuspectVerdict::kClear)
+    prompt_part_screen_.RecordSound(part, sound_at);
+    if (Classify(part, now) != SuspectVerdict::kClear)
       ClearPromptPart(part, sound_at, now);
   }
 }
@@ -157,16 +157,15 @@
   completion.subject = part;
   completion.completed = true;
   completion.expires_ms = sound_at.count() + SuspectTable::kLifetimeMs;
-  SuspectVerdict before = ClassifyRequest(part, now);
+  SuspectVerdict before = Classify(part, now);
   if (!AddObservation(completion, now)) return;
-  PC_INFO(kRouter,
-          "event=prompt_part_cleared part="
-              << part << " verdict_before=" << static_cast<int>(before)
-              << " verdict=" << static_cast<int>(ClassifyRequest(part, now)));
+  PC_INFO(kRouter, "event=prompt_part_cleared part="
+                       << part << " verdict_before=" << static_cast<int>(before)
+                       << " verdict=" << static_cast<int>(Classify(part, now)));
 }
 
 void CrashCorrelator::OnCompleted(uint64_t request, MonotonicTime now) {
-  if (ClassifyRequest(request, now) == SuspectVerdict::kClear) return;
+  if (Classify(request, now) == SuspectVerdict::kClear) return;
   CrashObservation completion;
   completion.subject = request;
   completion.completed = true;
@@ -193,7 +192,7 @@
   std::erase_if(remote_losses_, [&](const auto& it) {
     return now - it.second > max_detection_time_;
   });
-  prompt_parts_.RemoveExpired(now);
+  prompt_part_screen_.RemoveExpired(now);
   if (!store_reachable_since) return;
   while (!lost_connections_.empty()) {
     const LostConnection& oldest = lost_connections_.front();
@@ -214,13 +213,12 @@
                                            MonotonicTime now) {
   has_observations_ = true;
   if (!table_.Add(observation, now.count())) return;
-  PC_INFO(kRouter,
-          "event=crash_heard subject="
-              << observation.subject << " verdict="
-              << static_cast<int>(ClassifyRequest(observation.subject, now)));
+  PC_INFO(kRouter, "event=crash_heard subject="
+                       << observation.subject << " verdict="
+                       << static_cast<int>(Classify(observation.subject, now)));
   if (observation.completed) return;
   // The other router may not know of an execution here that clears the part.
-  auto sound_at = prompt_parts_.LastSoundAt(observation.subject);
+  auto sound_at = prompt_part_screen_.LastSoundAt(observation.subject);
   MonotonicTime crash_at(observation.expires_ms - SuspectTable::kLifetimeMs);
   if (sound_at && *sound_at >= crash_at)
     ClearPromptPart(observation.subject, *sound_at, now);
--- a/Source/Core/Router/crash_correlator.h
+++ b/Source/Core/Router/crash_correlator.h
@@ -52,7 +52,7 @@
   /// `max_detection_time`: the longest time from a crash to its detection while
   /// the store is reachable.
   explicit CrashCorrelator(Milliseconds max_detection_time = Milliseconds(4000),
-                           PromptPartScreen prompt_parts =
+                           PromptPartScreen prompt_part_screen =
                                PromptPartScreen(0, Milliseconds(10'000)));
 
   void OnConnectionLost(const LostAttempt& attempt, MonotonicTime now);
@@ -85,8 +85,8 @@
 
   /// Whether any observation exists. Without one, requests need no fingerprint.
   bool HasObservations() const { return has_observations_; }
-  SuspectVerdict ClassifyRequest(uint64_t request, MonotonicTime now) const {
-    return table_.Classify(request, now.count());
+  SuspectVerdict Classify(uint64_t subject, MonotonicTime now) const {
+    return table_.Classify(subject, now.count());
   }
   /// Returns the time until a blocked request is accepted again.
   Milliseconds BlockedTimeLeft(uint64_t request, MonotonicTime now) const {
@@ -96,9 +96,9 @@
   /// Decides about a request with these parts of its prompt.
   PromptPartDecision CheckPromptParts(std::span<const uint64_t> parts,
                                       MonotonicTime now) const {
-    return prompt_parts_.Check(table_, parts, now);
+    return prompt_part_screen_.Check(table_, parts, now);
   }
-  PromptPartScreen& prompt_parts() { return prompt_parts_; }
+  PromptPartScreen& prompt_part_screen() { return prompt_part_screen_; }
 
   const CrashCounters& counters() const { return counters_; }
   const SuspectTable& table() const { return table_; }
@@ -141,7 +141,7 @@
 
   Milliseconds max_detection_time_;
   SuspectTable table_;
-  PromptPartScreen prompt_parts_;
+  PromptPartScreen prompt_part_screen_;
   CrashCounters counters_;
   bool has_observations_ = false;
   /// Those without a known crash, in the order of their time.
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -59,7 +59,7 @@
   if (routes_ == nullptr)
     return Refuse("no configuration yet", kRetryElsewhereDelay);
   for (const std::string& it : fields_.prompt_parts)
-    prompt_parts_.push_back(PromptPartFingerprint(it));
+    prompt_part_fingerprints_.push_back(PromptPartFingerprint(it));
   if (!ResolveRoute() || !Authenticate() || !CheckSuspect() ||
       !CheckPromptParts()) {
     return;
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -125,7 +125,7 @@
   Milliseconds placement_load_age_{0};
   std::set<std::string> tried_upstreams_;
   std::optional<uint64_t> fingerprint_;
-  std::vector<uint64_t> prompt_parts_;  // Fingerprints.
+  std::vector<uint64_t> prompt_part_fingerprints_;
   std::optional<uint64_t> tested_prompt_part_;
   bool is_sound_ = false;            // An attempt did not crash its upstream.
   bool is_suspect_ = false;          // The request was running at a crash.
--- a/Source/Core/Router/fleet_request_failure.cc
+++ b/Source/Core/Router/fleet_request_failure.cc
@@ -60,12 +60,12 @@
                        << (responding_time ? responding_time->count() : -1)
                        << " parts=" << PromptPartsForLog());
   state_->crash_correlator.OnConnectionLost(
-      {Fingerprint(), upstream_id_, sent_as_suspect_, sent_at_, prompt_parts_,
-       responding_time},
+      {Fingerprint(), upstream_id_, sent_as_suspect_, sent_at_,
+       prompt_part_fingerprints_, responding_time},
       now);
-  is_suspect_ = is_suspect_ ||
-                state_->crash_correlator.ClassifyRequest(Fingerprint(), now) !=
-                    SuspectVerdict::kClear;
+  is_suspect_ =
+      is_suspect_ || state_->crash_correlator.Classify(Fingerprint(), now) !=
+                         SuspectVerdict::kClear;
 }
 
 // An attempt that this router ends counts as lost if its upstream has crashed.
--- a/Source/Core/Router/fleet_request_suspicion.cc
+++ b/Source/Core/Router/fleet_request_suspicion.cc
@@ -19,8 +19,7 @@
 
 bool FleetRequest::CheckSuspect() {
   if (!state_->crash_correlator.HasObservations()) return true;
-  switch (
-      state_->crash_correlator.ClassifyRequest(Fingerprint(), arrived_at_)) {
+  switch (state_->crash_correlator.Classify(Fingerprint(), arrived_at_)) {
     case SuspectVerdict::kClear:
       return true;
     case SuspectVerdict::kSuspect:
@@ -53,8 +52,8 @@
 
 bool FleetRequest::CheckPromptParts() {
   if (!state_->crash_correlator.HasObservations()) return true;
-  PromptPartDecision decision =
-      state_->crash_correlator.CheckPromptParts(prompt_parts_, arrived_at_);
+  PromptPartDecision decision = state_->crash_correlator.CheckPromptParts(
+      prompt_part_fingerprints_, arrived_at_);
   switch (decision.action) {
     case PromptPartAction::kRun:
       return true;
@@ -64,7 +63,7 @@
     case PromptPartAction::kTest:
       is_suspect_ = true;
       tested_prompt_part_ = decision.part;
-      state_->crash_correlator.prompt_parts().BeginTest(decision.part);
+      state_->crash_correlator.prompt_part_screen().BeginTest(decision.part);
       ++state_->counters.prompt_part_tests;
       PC_INFO(kRouter, "event=prompt_part_tested id="
                            << fields_.request_id << " part=" << decision.part
@@ -90,15 +89,15 @@
   CrashCorrelator& correlator = state_->crash_correlator;
   if (!correlator.HasObservations()) return false;
   MonotonicTime now = state_->Now();
-  if (correlator.ClassifyRequest(Fingerprint(), now) ==
-      SuspectVerdict::kBlocked) {
+  if (correlator.Classify(Fingerprint(), now) == SuspectVerdict::kBlocked) {
     return true;
   }
   if (is_sound_) return false;
   // A test may have crashed its upstream, which is detected later.
   if (tested_prompt_part_)
     return execution_state_ == ExecutionState::kMayHaveExecuted;
-  auto action = correlator.CheckPromptParts(prompt_parts_, now).action;
+  auto action =
+      correlator.CheckPromptParts(prompt_part_fingerprints_, now).action;
   return action == PromptPartAction::kTest ||
          action == PromptPartAction::kRefuse;
 }
@@ -107,7 +106,7 @@
   MonotonicTime now = state_->Now();
   is_sound_ = true;
   state_->crash_correlator.OnSoundExecution(
-      prompt_parts_, response_began_at_.value_or(now), now);
+      prompt_part_fingerprints_, response_began_at_.value_or(now), now);
   EndPromptPartTest();
 }
 
@@ -115,7 +114,7 @@
   if (!tested_prompt_part_) return;
   bool may_have_crashed = !is_sound_ && attempts_ > 0 &&
                           execution_state_ != ExecutionState::kRefused;
-  state_->crash_correlator.prompt_parts().EndTest(
+  state_->crash_correlator.prompt_part_screen().EndTest(
       *tested_prompt_part_, may_have_crashed, state_->Now());
   tested_prompt_part_.reset();
 }
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -285,7 +285,7 @@
   state_.registry.RecordStatus(*status, state_.Now());
   auto routers = static_cast<int>(status->active_routers);
   state_.rate_limits.SetRouterCount(routers, now);
-  state_.crash_correlator.prompt_parts().SetRouterCount(routers, now);
+  state_.crash_correlator.prompt_part_screen().SetRouterCount(routers, now);
   for (auto& [service, retry_budget] : state_.retry_budgets)
     retry_budget.SetRouterCount(routers, now);
 }
--- a/Source/UnitTests/Router/crash_containment_test.cc
+++ b/Source/UnitTests/Router/crash_containment_test.cc
@@ -153,7 +153,7 @@
   void SendCrashingRequest() {
     size_t n = Random(kRouters);
     CrashCorrelator& correlator = *routers_[n].correlator;
-    if (correlator.ClassifyRequest(kCrashingRequest, now_) ==
+    if (correlator.Classify(kCrashingRequest, now_) ==
         SuspectVerdict::kBlocked) {
       ++refused_;
       return;
@@ -186,7 +186,7 @@
     UpstreamCrash crash{upstream->id, upstream->start_time_ms,
                         CrashEvidence::kRegistrationEnded};
     LostAttempt attempt{kCrashingRequest, upstream->id,
-                        routers_[sender].correlator->ClassifyRequest(
+                        routers_[sender].correlator->Classify(
                             kCrashingRequest, now_) != SuspectVerdict::kClear,
                         now_};
     // Some connections go silent instead of being reset.
--- a/Source/UnitTests/Router/crash_correlator_test.cc
+++ b/Source/UnitTests/Router/crash_correlator_test.cc
@@ -48,7 +48,7 @@
     lost_connection();
     if (!crash_first) crash();
     MonotonicTime now = kStart + Milliseconds(7000);
-    CHECK((correlator.ClassifyRequest(kCrashingRequest, now) ==
+    CHECK((correlator.Classify(kCrashingRequest, now) ==
            SuspectVerdict::kSuspect) == row.suspect);
     CHECK(correlator.PopNewObservations().size() == (row.suspect ? 1 : 0));
     CHECK(correlator.PopNewObservations().empty());
@@ -89,7 +89,7 @@
       correlator.RemoveExpired(now, reachable_since);
     }
     correlator.OnUpstreamCrash({"u1", 1}, crash);
-    CHECK((correlator.ClassifyRequest(kCrashingRequest, crash) ==
+    CHECK((correlator.Classify(kCrashingRequest, crash) ==
            SuspectVerdict::kSuspect) == row.suspect);
   }
 }
@@ -102,16 +102,16 @@
   CHECK(correlator.counters().uncorrelated_losses ==
         CrashCorrelator::kMaxLostConnections);
   correlator.OnUpstreamCrash({"u1", 1}, kStart);
-  CHECK(correlator.ClassifyRequest(0, kStart) == SuspectVerdict::kClear);
-  CHECK(correlator.ClassifyRequest(2 * CrashCorrelator::kMaxLostConnections - 1,
-                                   kStart) == SuspectVerdict::kSuspect);
+  CHECK(correlator.Classify(0, kStart) == SuspectVerdict::kClear);
+  CHECK(correlator.Classify(2 * CrashCorrelator::kMaxLostConnections - 1,
+                            kStart) == SuspectVerdict::kSuspect);
 }
 
 TEST_CASE("a crash of another upstream makes no suspect") {
   CrashCorrelator correlator;
   correlator.OnConnectionLost({kCrashingRequest, "u1", false, kStart}, kStart);
   correlator.OnUpstreamCrash({"u2", 1}, kStart);
-  CHECK(correlator.ClassifyRequest(kCrashingRequest, kStart) ==
+  CHECK(correlator.Classify(kCrashingRequest, kStart) ==
         SuspectVerdict::kClear);
 }
 
@@ -124,10 +124,8 @@
   second.OnUpstreamCrash({"u2", 1}, kStart);
   for (const CrashObservation& it : first.PopNewObservations())
     second.AddRemoteObservation(it, kStart);
-  CHECK(first.ClassifyRequest(kCrashingRequest, kStart) ==
-        SuspectVerdict::kSuspect);
-  CHECK(second.ClassifyRequest(kCrashingRequest, kStart) ==
-        SuspectVerdict::kBlocked);
+  CHECK(first.Classify(kCrashingRequest, kStart) == SuspectVerdict::kSuspect);
+  CHECK(second.Classify(kCrashingRequest, kStart) == SuspectVerdict::kBlocked);
   CHECK(second.BlockedTimeLeft(kCrashingRequest, kStart) ==
         Milliseconds(SuspectTable::kLifetimeMs));
 }
@@ -149,7 +147,7 @@
     CrashCorrelator correlator;
     MonotonicTime now = kStart;
     for (int64_t start = 1; start <= 3; ++start) {
-      CHECK(correlator.ClassifyRequest(kCrashingRequest, now) !=
+      CHECK(correlator.Classify(kCrashingRequest, now) !=
             SuspectVerdict::kBlocked);
       LostAttempt attempt{kCrashingRequest, "u1", start > 1, now};
       now += Milliseconds(100);
@@ -160,7 +158,7 @@
         correlator.OnUpstreamCrash({"u1", start}, now);
       now += Milliseconds(3000);
     }
-    CHECK(correlator.ClassifyRequest(kCrashingRequest, now) ==
+    CHECK(correlator.Classify(kCrashingRequest, now) ==
           SuspectVerdict::kBlocked);
     CHECK(correlator.PopNewObservations().size() == 3);
   }
@@ -189,17 +187,15 @@
   }
   for (const CrashObservation& it : first.PopNewObservations())
     second.AddRemoteObservation(it, kStart);
-  CHECK(second.ClassifyRequest(kCrashingRequest, kStart) ==
-        SuspectVerdict::kBlocked);
+  CHECK(second.Classify(kCrashingRequest, kStart) == SuspectVerdict::kBlocked);
   MonotonicTime end = kStart + Milliseconds(100);
   first.OnCompleted(kCrashingRequest, end);
   first.OnCompleted(kCrashingRequest + 1, end);
   auto observations = first.PopNewObservations();
   REQUIRE(observations.size() == 1);
   second.AddRemoteObservation(observations[0], end);
-  CHECK(first.ClassifyRequest(kCrashingRequest, end) == SuspectVerdict::kClear);
-  CHECK(second.ClassifyRequest(kCrashingRequest, end) ==
-        SuspectVerdict::kClear);
+  CHECK(first.Classify(kCrashingRequest, end) == SuspectVerdict::kClear);
+  CHECK(second.Classify(kCrashingRequest, end) == SuspectVerdict::kClear);
 }
 
 TEST_CASE("active suspects are counted by upstream") {
--- a/Source/UnitTests/Router/plain_service_crash_test.cc
+++ b/Source/UnitTests/Router/plain_service_crash_test.cc
@@ -116,7 +116,7 @@
     Router& router = routers_[Random(kRouters)];
     std::set<std::string> tried;
     for (int i = 0; i < kMaxAttempts;) {
-      if (router.correlator.ClassifyRequest(kCrashingRequest, now_) ==
+      if (router.correlator.Classify(kCrashingRequest, now_) ==
           SuspectVerdict::kBlocked) {
         ++refused_;
         return;
@@ -138,8 +138,8 @@
   void Send(Router* router, const std::string& id) {
     if (crashes_ >= 3 && now_ - third_crash_ > kContactTime) ++late_sends_;
     LostAttempt attempt{kCrashingRequest, id,
-                        router->correlator.ClassifyRequest(
-                            kCrashingRequest, now_) != SuspectVerdict::kClear,
+                        router->correlator.Classify(kCrashingRequest, now_) !=
+                            SuspectVerdict::kClear,
                         now_};
     CrashUpstream(id);
     Milliseconds silence(scenario_.is_silent ? 1500 : 5);
--- a/Source/UnitTests/Router/prompt_part_containment_test.cc
+++ b/Source/UnitTests/Router/prompt_part_containment_test.cc
@@ -213,7 +213,7 @@
     router.correlator = std::make_unique<CrashCorrelator>(
         UpstreamRegistry::MaxDetectionTime(kHeartbeat),
         PromptPartScreen(n + 1, 10'000ms));
-    router.correlator->prompt_parts().SetRouterCount(
+    router.correlator->prompt_part_screen().SetRouterCount(
         static_cast<int>(scenario_.routers), now_);
     ++router.starts;
     router.in_flight.clear();
@@ -304,7 +304,7 @@
     request->is_suspect = decision.action != PromptPartAction::kRun;
     if (decision.action == PromptPartAction::kTest) {
       request->tested_part = decision.part;
-      correlator.prompt_parts().BeginTest(decision.part);
+      correlator.prompt_part_screen().BeginTest(decision.part);
     }
     StartAttempt(request);
   }
@@ -322,7 +322,7 @@
         routers_[request.router].starts != request.router_start) {
       return;
     }
-    routers_[request.router].correlator->prompt_parts().EndTest(
+    routers_[request.router].correlator->prompt_part_screen().EndTest(
         *request.tested_part, !request.is_sound, now_);
   }
 
