Log when upstreams fall silent and what they do afterwards

The first hypothesis, silence taken for death, could not be told from crashes: no line said whether an abandoned upstream went on afterwards, nor whether its agent saw it silent or gone. Routers now log upstream_silent and upstream_silence_over and count silences; attempt_abandoned says for how long its connection was quiet. Agents tell routers when a poll of their engine is overdue (engine_responding). No decision depends on it yet.

--- a/Source/Core/Agent/fleet_agent.cc
+++ b/Source/Core/Agent/fleet_agent.cc
@@ -22,6 +22,9 @@
 // is considered gone.
 constexpr Milliseconds kRouterTimeout{3500};
 constexpr Milliseconds kLogFlushPeriod{200};
+// A poll within the host takes a few milliseconds, or some tens of them if the
+// host is short of processor time.
+constexpr Milliseconds kMaxPollTime{300};
 // Consecutive failed polls after which the engine is considered unreachable.
 constexpr int kMaxMissedPolls = 2;
 constexpr Http1Server::Limits kPeerLimits = {.max_body_bytes = 64 << 10,
@@ -174,20 +177,33 @@
 }
 
 void FleetAgent::PollEngine() {
-  if (poll_in_flight_) return;
+  if (poll_in_flight_) {
+    if (status_.responding && EventLoop::Now() - poll_sent_at_ > kMaxPollTime)
+      SetResponding(false);
+    return;
+  }
   poll_in_flight_ = true;
+  poll_sent_at_ = EventLoop::Now();
   engine_->FetchEngineStatus([this](Result<EngineStatus> status) {
     poll_in_flight_ = false;
     OnEngineStatus(std::move(status));
   });
 }
 
+void FleetAgent::SetResponding(bool responding) {
+  if (status_.responding == responding) return;
+  status_.responding = responding;
+  PC_INFO(kPlatform, "event=engine_responding responding=" << responding);
+  SendStatus();
+}
+
 void FleetAgent::OnEngineStatus(Result<EngineStatus> status) {
   bool was_reachable = status_.reachable;
   if (status) {
     missed_polls_ = 0;
     const EngineStatus& it = status.value();
     status_.reachable = true;
+    SetResponding(true);
     status_.loading = it.loading;
     status_.served_version = 0;
     for (const LoadedWeights& weights : it.weights) {
--- a/Source/Core/Agent/fleet_agent.h
+++ b/Source/Core/Agent/fleet_agent.h
@@ -32,6 +32,7 @@
   // Sends a datagram to all routers but the one that it came from.
   void ForwardToRouters(std::string_view datagram, const Endpoint& sender);
   void PollEngine();
+  void SetResponding(bool responding);
   void OnEngineStatus(Result<EngineStatus> status);
   void SendStatus();
 
@@ -54,6 +55,7 @@
   SteadyTime last_sent_at_;
   int missed_polls_ = 0;
   bool poll_in_flight_ = false;
+  SteadyTime poll_sent_at_;
   Timer poll_timer_;
   Timer log_timer_;
 };
--- a/Source/Core/Fleet/fleet_messages.cc
+++ b/Source/Core/Fleet/fleet_messages.cc
@@ -60,9 +60,10 @@
   int64_t start_time_ms = 0;
   uint32_t active_routers = 0;
   uint32_t reload_in_ms = 0;
+  bool responding = true;
   MSGPACK_DEFINE_ARRAY(upstream, sequence, reachable, loading, served_version,
                        staged_version, running, waiting, slowdown_percent,
-                       start_time_ms, active_routers, reload_in_ms);
+                       start_time_ms, active_routers, reload_in_ms, responding);
 };
 
 struct CrashReportEntryWire {
@@ -184,7 +185,8 @@
   return {ToWire(it.upstream), it.sequence,       it.reachable,
           it.loading,          it.served_version, it.staged_version,
           it.running,          it.waiting,        it.slowdown_percent,
-          it.start_time_ms,    it.active_routers, it.reload_in_ms};
+          it.start_time_ms,    it.active_routers, it.reload_in_ms,
+          it.responding};
 }
 
 UpstreamStatus FromWire(const StatusWire& it) {
@@ -199,7 +201,8 @@
           it.slowdown_percent,
           it.start_time_ms,
           it.active_routers,
-          it.reload_in_ms};
+          it.reload_in_ms,
+          it.responding};
 }
 
 CrashReportWire ToWire(const CrashReport& it) {
@@ -298,7 +301,7 @@
 }
 
 constexpr uint32_t kDeploymentUpdateFields = 11;
-constexpr uint32_t kStatusFields = 12;
+constexpr uint32_t kStatusFields = 13;
 constexpr uint32_t kCrashReportFields = 1;
 constexpr uint32_t kCrashDigestFields = 2;
 constexpr uint32_t kLossReportFields = 1;
--- a/Source/Core/Fleet/fleet_messages.h
+++ b/Source/Core/Fleet/fleet_messages.h
@@ -55,6 +55,8 @@
   uint32_t active_routers = 0;  ///< Routers whose updates it receives.
   /// Until the engine is to be ordered to load; kNoReloadPlanned for none.
   uint32_t reload_in_ms = kNoReloadPlanned;
+  /// Whether the engine answers its agent's polls in time.
+  bool responding = true;
 
   static constexpr uint32_t kNoReloadPlanned = UINT32_MAX;
 };
--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -18,6 +18,9 @@
 // for probes. A single failure may be caused by the request.
 constexpr int kFailuresToEject = 3;
 constexpr Milliseconds kEjectionTime{1500};
+// An engine with running requests sends events several times a second, and a
+// plain service responds within a few tenths of a second.
+constexpr Milliseconds kMaxQuietTime{400};
 // Registrations without a start time are in the order in which they are seen,
 // unless one read of the store may have returned both.
 constexpr Milliseconds kMaxReadTime{300};
@@ -307,6 +310,34 @@
   });
 }
 
+void UpstreamRegistry::UpdateSilence(MonotonicTime now) {
+  for (auto& [id, upstream] : upstreams_) {
+    bool by_requests = upstream.local_in_flight > 0 &&
+                       now - upstream.last_progress > kMaxQuietTime;
+    bool by_agent = upstream.status && !upstream.status->responding &&
+                    now - upstream.status_received_at < kStatusLifetime;
+    bool is_silent = by_requests || by_agent;
+    if (is_silent == upstream.silent_since.has_value()) continue;
+    if (is_silent) {
+      ++silences_;
+      upstream.silent_since =
+          by_requests ? upstream.last_progress : upstream.status_received_at;
+      PC_INFO(kMembership, "event=upstream_silent id="
+                               << id << " quiet_ms="
+                               << (now - upstream.last_progress).count()
+                               << " in_flight=" << upstream.local_in_flight
+                               << " by_agent=" << by_agent);
+      continue;
+    }
+    PC_INFO(kMembership,
+            "event=upstream_silence_over id="
+                << id << " silent_ms=" << (now - *upstream.silent_since).count()
+                << " in_flight=" << upstream.local_in_flight << " responds="
+                << (upstream.last_progress > *upstream.silent_since));
+    upstream.silent_since.reset();
+  }
+}
+
 std::vector<FleetUpstream*> UpstreamRegistry::Usable(const std::string& service,
                                                      MonotonicTime now) {
   std::vector<FleetUpstream*> out;
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -47,6 +47,9 @@
   /// The time at which the upstream last sent data to this router, or got a
   /// request while this router had no other request in flight there.
   MonotonicTime last_progress{-1'000'000};
+  /// Since when it has been silent, by its requests or its agent. Silence is no
+  /// evidence that its process has ended.
+  std::optional<MonotonicTime> silent_since;
 
   /// Returns whether it gets no new requests because its process is leaving,
   /// by its registration or its responses.
@@ -123,6 +126,11 @@
   /// of processes that have left.
   void Expire(MonotonicTime now);
 
+  /// Determines which upstreams are silent. Call it periodically.
+  void UpdateSilence(MonotonicTime now);
+  /// Returns how often an upstream has fallen silent.
+  uint64_t silences() const { return silences_; }
+
   /// Returns the upstreams of a service that may get new requests at `now`.
   std::vector<FleetUpstream*> Usable(const std::string& service,
                                      MonotonicTime now);
@@ -159,6 +167,7 @@
   std::map<std::string, ReplacedUpstream> replaced_;
   std::map<std::string, LeavingStatement> leaving_statements_;  // By id.
   std::vector<UpstreamCrash> crashes_;
+  uint64_t silences_ = 0;
 };
 
 }  // namespace primrosecove
--- /dev/null
+++ b/Source/Core/Router/fleet_attempt.h
@@ -0,0 +1,43 @@
+// One attempt of a FleetRequest: the call to one upstream and the state of its
+// response.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "Core/Fleet/event_framer.h"
+#include "Core/Fleet/upstream_registry.h"
+#include "Core/Net/http1_client.h"
+
+namespace primrosecove {
+
+struct FleetAttempt {
+  uint64_t number = 0;  ///< Distinguishes the attempts of one request.
+  std::unique_ptr<Http1Call> call;
+  std::string upstream_id;
+  int64_t upstream_start_time_ms = 0;  ///< 0 if unknown.
+  /// Weights that the upstream is expected to start on; 0 if none are needed.
+  uint64_t weights_version = 0;
+  bool counted_as_suspect = false;  ///< By the crash correlator.
+  bool sent_as_suspect = false;     ///< No other suspect was there.
+  MonotonicTime sent_at{0};
+  MonotonicTime last_data_at{0};  ///< Or sent_at.
+  /// When a successful response began.
+  std::optional<MonotonicTime> response_began_at;
+  bool streaming = false;     ///< The response is an event stream.
+  std::string response_body;  ///< Of a response that is not a stream.
+  /// Weights that the response states for its first events.
+  std::optional<uint64_t> response_weights;
+  EventFramer framer;
+
+  /// For how long a successful response has been arriving, or nothing if it has
+  /// not begun.
+  std::optional<Milliseconds> RespondingTime() const {
+    if (!response_began_at) return std::nullopt;
+    return std::max(last_data_at - *response_began_at, Milliseconds(0));
+  }
+};
+
+}  // namespace primrosecove
--- a/Source/Core/Router/fleet_request_failure.cc
+++ b/Source/Core/Router/fleet_request_failure.cc
@@ -165,10 +165,11 @@
     if (should_cancel) CancelAttempt(why);
     return;
   }
-  PC_INFO(kRouter, "event=attempt_abandoned id=" << fields_.request_id
-                                                 << " upstream=" << upstream_id_
-                                                 << " events=" << event_count_
-                                                 << " why=\"" << why << "\"");
+  PC_INFO(kRouter, "event=attempt_abandoned id="
+                       << fields_.request_id << " upstream=" << upstream_id_
+                       << " events=" << event_count_
+                       << " quiet_ms=" << (now - last_data_at_).count()
+                       << " why=\"" << why << "\"");
   call_.reset();
   RecordConnectionLoss();
   ReleaseUpstream(false);
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -342,6 +342,7 @@
 void FleetRouter::CheckRequests() {
   MonotonicTime now = state_.Now();
   state_.registry.Expire(now);
+  state_.registry.UpdateSilence(now);
   ReportCrashes(now);
   if (state_.rate_limits.HasNews()) ReportRateLimits(now);
   std::vector<std::shared_ptr<FleetRequest>> all;
--- a/Source/Core/Router/fleet_router_metrics.cc
+++ b/Source/Core/Router/fleet_router_metrics.cc
@@ -58,6 +58,10 @@
   }
   AddCrashMetrics();
   AddRateLimitMetrics();
+  metrics_.AddCounter("primrosecove_router_upstream_silences_total",
+                      "Times that an upstream fell silent", {}, [this] {
+                        return static_cast<double>(state_.registry.silences());
+                      });
   metrics_.AddGauge(
       "primrosecove_router_config_version",
       "Version of the configuration in force", {}, [this] {
