--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -36,6 +36,10 @@
   int Run();
   /// Starts a graceful shutdown: drains requests, then stops the loop.
   void BeginStop();
+  /// Returns the version of the configuration in force; 0 without one.
+  uint64_t config_version() const {
+    return state_.routes == nullptr ? 0 : state_.routes->config().version;
+  }
   const FleetCounters& counters() const { return state_.counters; }
   const UpstreamRegistry& registry() const { return state_.registry; }
   /// Address for datagrams from agents.
