Do not take a silent engine for one that has ended, at its agent

An engine that stood still for 1.6 s failed two polls of its agent, which told all routers that it is unreachable and serves no weights. Routers count that as a crash of the process, and with it as evidence against the requests and prompt parts that ran there. Cause: the client reported a timeout and a refused connection alike. Now a poll without a response in time makes the engine silent (responding=0), and only connections that it refuses or ends make it unreachable. The new test "an engine that stands still is reported as silent, not as gone" failed before on its only check.

--- a/Source/Core/Agent/fleet_agent.cc
+++ b/Source/Core/Agent/fleet_agent.cc
@@ -25,7 +25,8 @@
 // A poll within the host takes a few milliseconds, or some tens of them if the
 // host is short of processor time.
 constexpr Milliseconds kMaxPollTime{300};
-// Consecutive failed polls after which the engine is considered unreachable.
+// Polls whose connection the engine refuses or ends, since the last response,
+// after which it is considered unreachable.
 constexpr int kMaxMissedPolls = 2;
 constexpr Http1Server::Limits kPeerLimits = {.max_body_bytes = 64 << 10,
                                              .max_connections = 400};
@@ -215,6 +216,10 @@
     status_.slowdown_percent = static_cast<uint32_t>(it.slowdown * kPercent);
     status_.start_time_ms = it.start_time_ms;
     stager_->OnEngineStatus(it);
+  } else if (status.error().code == ErrorCode::kTimeout) {
+    // A silent engine may go on. Only a refused or ended connection shows that
+    // its process has ended.
+    SetResponding(false);
   } else if (++missed_polls_ >= kMaxMissedPolls) {
     status_.reachable = false;
     status_.served_version = 0;
--- a/Source/Core/Net/http1_calls.cc
+++ b/Source/Core/Net/http1_calls.cc
@@ -29,9 +29,13 @@
       response.body = std::move(result.body);
       return callback(std::move(response));
     }
-    bool sent = result.end != CallEnd::kNotSent;
-    callback(Fail(sent ? ErrorCode::kTimeout : ErrorCode::kUnavailable,
-                  sent ? "incomplete response" : "cannot connect"));
+    bool timed_out = result.end == CallEnd::kTimeout ||
+                     (result.end == CallEnd::kNotSent && !result.refused);
+    if (timed_out)
+      return callback(Fail(ErrorCode::kTimeout, "no response in time"));
+    callback(Fail(ErrorCode::kUnavailable, result.refused
+                                               ? "connection refused"
+                                               : "incomplete response"));
   };
   calls_[number] = client_->Send(endpoint, request, options, std::move(events));
 }
--- a/Source/Core/Net/http1_calls.h
+++ b/Source/Core/Net/http1_calls.h
@@ -18,8 +18,10 @@
   /// Precondition: `client` outlives this object.
   explicit Http1Calls(Http1Client* client) : client_(client) {}
   /// Sends `request` and passes the complete response to `callback`. Fails with
-  /// kUnavailable when no byte was sent, and with kTimeout when the response
-  /// was not complete within `response_timeout`.
+  /// kTimeout when the peer did not accept the connection or complete its
+  /// response in time, and with kUnavailable when it refused or ended the
+  /// connection or sent an invalid response. Either way it may have received
+  /// the request.
   void Send(const Endpoint& endpoint, const HttpRequest& request,
             Milliseconds response_timeout, Callback callback);
   size_t size() const { return calls_.size(); }
--- a/Source/UnitTests/Agent/fleet_agent_test.cc
+++ b/Source/UnitTests/Agent/fleet_agent_test.cc
@@ -163,6 +163,36 @@
   CHECK(fleet.origin.chunks_sent() == 0);
 }
 
+// Guards against taking a silent engine for one that has ended: routers would
+// count its requests as crashes.
+TEST_CASE("an engine that stands still is reported as silent, not as gone",
+          "[burst]") {
+  FleetFixture fleet(105, 1, 1);
+  auto wait_until = [&](bool responding) {
+    RunUntil(&fleet.loop, [&] {
+      fleet.ResendUpdate();
+      return !fleet.statuses.empty() &&
+             fleet.statuses.begin()->second.reachable &&
+             fleet.statuses.begin()->second.responding == responding;
+    });
+  };
+  wait_until(true);
+  fleet.engines[0]->StandStill();
+  wait_until(false);
+  bool was_unreachable = false;
+  // Longer than two timeouts of a poll.
+  bool is_over = false;
+  Timer timer =
+      fleet.loop.After(Milliseconds(2000), [&is_over] { is_over = true; });
+  RunUntil(&fleet.loop, [&] {
+    was_unreachable |= !fleet.statuses.begin()->second.reachable;
+    return is_over;
+  });
+  CHECK_FALSE(was_unreachable);
+  fleet.engines[0]->GoOn();
+  wait_until(true);
+}
+
 TEST_CASE("corrupt chunks from the origin are neither kept nor sent to peers",
           "[burst]") {
   FleetFixture fleet(87, 3, 1);
