--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -213,6 +213,9 @@
   if (upstream == nullptr) return;
   upstream->last_progress = now;
   upstream->refuses_connections = false;
+  if (!std::exchange(upstream->failed_by_silence, false)) return;
+  upstream->consecutive_failures = 0;
+  upstream->ejected_until = std::min(upstream->ejected_until, now);
 }
 
 void UpstreamRegistry::OnEnded(const std::string& id, bool ok,
@@ -220,16 +223,33 @@
   FleetUpstream* upstream = Find(id);
   if (upstream == nullptr) return;
   upstream->local_in_flight = std::max(upstream->local_in_flight - 1, 0);
-  if (ok) {
-    upstream->consecutive_failures = 0;
-    upstream->last_success = now;
-    return;
-  }
+  if (!ok) return CountFailure(upstream, now);
+  upstream->consecutive_failures = 0;
+  upstream->last_success = now;
+}
+
+void UpstreamRegistry::OnEndedSilent(const std::string& id, MonotonicTime now) {
+  FleetUpstream* upstream = Find(id);
+  if (upstream == nullptr) return;
+  upstream->local_in_flight = std::max(upstream->local_in_flight - 1, 0);
+  upstream->failed_by_silence = true;
+  CountFailure(upstream, now);
+}
+
+void UpstreamRegistry::OnCancelled(const std::string& id) {
+  FleetUpstream* upstream = Find(id);
+  if (upstream == nullptr) return;
+  upstream->local_in_flight = std::max(upstream->local_in_flight - 1, 0);
+}
+
+void UpstreamRegistry::CountFailure(FleetUpstream* upstream,
+                                    MonotonicTime now) {
   if (++upstream->consecutive_failures < kFailuresToEject) return;
   upstream->ejected_until = now + kEjectionTime;
   PC_WARN(kMembership, "event=upstream_ejected id="
-                           << id
-                           << " failures=" << upstream->consecutive_failures);
+                           << upstream->record.id
+                           << " failures=" << upstream->consecutive_failures
+                           << " by_silence=" << upstream->failed_by_silence);
 }
 
 void UpstreamRegistry::OnConnectionRefused(const std::string& id) {
@@ -338,10 +358,28 @@
   }
 }
 
+void UpstreamRegistry::ExcuseSilence(Milliseconds time, MonotonicTime now) {
+  for (auto& [id, upstream] : upstreams_) {
+    upstream.last_progress = std::min(upstream.last_progress + time, now);
+  }
+}
+
+double UpstreamRegistry::SilentShare(const std::string& service) const {
+  int all = 0;
+  int silent = 0;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.record.service != service) continue;
+    ++all;
+    if (upstream.silent_since) ++silent;
+  }
+  return all == 0 ? 0 : static_cast<double>(silent) / all;
+}
+
 std::vector<FleetUpstream*> UpstreamRegistry::Usable(const std::string& service,
                                                      MonotonicTime now) {
   std::vector<FleetUpstream*> out;
   std::vector<FleetUpstream*> ejected;
+  std::vector<FleetUpstream*> silent;
   for (auto& [id, upstream] : upstreams_) {
     if (upstream.record.service != service || upstream.IsLeaving()) continue;
     bool has_status =
@@ -351,10 +389,15 @@
         (!upstream.status->reachable || upstream.status->loading)) {
       continue;
     }
-    (now < upstream.ejected_until ? ejected : out).push_back(&upstream);
+    if (upstream.silent_since) {
+      silent.push_back(&upstream);
+    } else {
+      (now < upstream.ejected_until ? ejected : out).push_back(&upstream);
+    }
   }
   // If all upstreams fail, the requests are the likelier cause.
-  return out.empty() ? ejected : out;
+  if (!out.empty()) return out;
+  return ejected.empty() ? silent : ejected;
 }
 
 FleetUpstream* UpstreamRegistry::Find(const std::string& id) {
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -40,6 +40,7 @@
   // Failures since the last success, and the end of the ejection they caused.
   int consecutive_failures = 0;
   MonotonicTime ejected_until{-1'000'000};
+  bool failed_by_silence = false;  ///< Data from it ends the ejection.
   MonotonicTime last_success{-1'000'000};
   bool refuses_connections = false;  ///< Since it last sent data.
   /// Its process has stated in a response that it is leaving.
@@ -60,6 +61,10 @@
   /// Estimates the number of requests at it: the last reported load, corrected
   /// by the requests of this router that started and ended since.
   int ExpectedLoad(MonotonicTime now) const;
+  /// Returns whether it can start a request immediately, by its expected load.
+  bool HasFreeSlots(MonotonicTime now) const {
+    return ExpectedLoad(now) < record.slots;
+  }
 };
 
 /// How the crash of an upstream was detected.
@@ -111,6 +116,10 @@
   void OnProgress(const std::string& id, MonotonicTime now);
   /// Records the end of a request; `ok` is whether its response was valid.
   void OnEnded(const std::string& id, bool ok, MonotonicTime now);
+  /// Records the end of a request that its silent upstream has not completed.
+  void OnEndedSilent(const std::string& id, MonotonicTime now);
+  /// Records the end of a request that shows nothing about the upstream.
+  void OnCancelled(const std::string& id);
   /// Records that no process listens at the upstream's address.
   void OnConnectionRefused(const std::string& id);
   /// Records that the upstream refused a request without running it.
@@ -128,10 +137,16 @@
 
   /// Determines which upstreams are silent. Call it periodically.
   void UpdateSilence(MonotonicTime now);
+  /// Does not count `time` as silence, because this process has not read from
+  /// its connections meanwhile.
+  void ExcuseSilence(Milliseconds time, MonotonicTime now);
+  /// Returns the share of a service's upstreams that are silent.
+  double SilentShare(const std::string& service) const;
   /// Returns how often an upstream has fallen silent.
   uint64_t silences() const { return silences_; }
 
-  /// Returns the upstreams of a service that may get new requests at `now`.
+  /// Returns the upstreams of a service that may get new requests at `now`. If
+  /// all of them are silent or fail, it returns those.
   std::vector<FleetUpstream*> Usable(const std::string& service,
                                      MonotonicTime now);
   FleetUpstream* Find(const std::string& id);
@@ -143,6 +158,8 @@
 
  private:
   void RecordCrash(const FleetUpstream& upstream, CrashEvidence evidence);
+  // Counts a failure; enough consecutive ones eject the upstream for a while.
+  static void CountFailure(FleetUpstream* upstream, MonotonicTime now);
   // Determines whether the upstream's present process has stated that it is
   // leaving.
   void UpdateStatesLeaving(FleetUpstream* upstream) const;
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -145,46 +145,84 @@
     exchange_->Abort();
     return Finish("broken_off", 0, why);
   }
-  if (execution_state_ == ExecutionState::kMayHaveExecuted)
-    return Fail(502, "Bad Gateway", why);
+  if (MayHaveExecuted()) return Fail(502, "Bad Gateway", why);
   Refuse(why, ComputeRetryAfter(retry_after, state_->RandomFraction()));
 }
 
-void FleetRequest::StartAttempt(const Placement& placement) {
-  MonotonicTime now = state_->Now();
-  FleetUpstream* upstream = placement.upstream;
-  placement_load_ = upstream->ExpectedLoad(now);
-  placement_wait_ = placement.wait;
-  placement_load_age_ = now - upstream->load_reported_at;
-  upstream_id_ = upstream->record.id;
-  upstream_start_time_ms_ = upstream->StartTimeMs();
-  last_upstream_ = upstream_id_;
-  tried_upstreams_.insert(upstream_id_);
-  UpstreamFields fields;
-  fields.deadline = std::max(TimeLeft(), Milliseconds(1));
-  fields.upstream_id = upstream_id_;
-  fields.workspace = workspace_;
-  attempt_weights_version_ = 0;
+UpstreamFields FleetRequest::MakeUpstreamFields(const FleetUpstream& upstream,
+                                                FleetAttempt* attempt) {
+  UpstreamFields out;
+  out.deadline = std::max(TimeLeft(), Milliseconds(1));
+  out.upstream_id = attempt->upstream_id;
+  out.workspace = workspace_;
   if (service_->engine && route_->is_generative) {
+    MonotonicTime now = state_->Now();
     uint64_t minimum_version =
         state_->minimum_versions.MinimumToSend(fields_.model, now);
-    attempt_weights_version_ =
-        UpstreamRegistry::ServedVersion(*upstream, fields_.model, now);
+    attempt->weights_version =
+        UpstreamRegistry::ServedVersion(upstream, fields_.model, now);
     if (event_count_ > 0) {
-      fields.weights_version = weights_version_;
+      out.weights_version = weights_version_;
     } else if (minimum_version > 0 &&
                minimum_version ==
                    state_->minimum_versions.NewestTarget(fields_.model)) {
-      fields.weights_version = attempt_weights_version_;
+      out.weights_version = attempt->weights_version;
     }
   }
-  fields.last_event_id =
-      last_event_id_ ? last_event_id_ : fields_.last_event_id;
+  out.last_event_id = last_event_id_ ? last_event_id_ : fields_.last_event_id;
+  return out;
+}
+
+std::shared_ptr<FleetAttempt> FleetRequest::FindAttempt(uint64_t number) {
+  auto it = std::find_if(
+      in_flight_.begin(), in_flight_.end(),
+      [number](const auto& attempt) { return attempt->number == number; });
+  return it == in_flight_.end() ? nullptr : *it;
+}
+
+CallEvents FleetRequest::MakeCallEvents(uint64_t attempt_number) {
+  std::weak_ptr<FleetRequest> weak = weak_from_this();
+  // An attempt that is removed by its own callback lives until its end.
+  auto run = [weak, attempt_number](auto handle) {
+    auto self = weak.lock();
+    auto attempt = self ? self->FindAttempt(attempt_number) : nullptr;
+    if (attempt) handle(self.get(), attempt.get());
+  };
+  CallEvents out;
+  out.on_head = [run](const Http1Head& head) {
+    run([&](auto* self, auto* attempt) { self->OnHead(attempt, head); });
+  };
+  out.on_data = [run](std::string_view bytes) {
+    run([&](auto* self, auto* attempt) { self->OnData(attempt, bytes); });
+  };
+  out.on_end = [run](CallResult result) {
+    run([&](auto* self, auto* attempt) {
+      self->OnCallEnd(attempt, std::move(result));
+    });
+  };
+  return out;
+}
+
+void FleetRequest::StartAttempt(const Placement& placement) {
+  MonotonicTime now = state_->Now();
+  FleetUpstream* upstream = placement.upstream;
+  placement_load_ = upstream->ExpectedLoad(now);
+  placement_wait_ = placement.wait;
+  placement_load_age_ = now - upstream->load_reported_at;
+  auto attempt = std::make_shared<FleetAttempt>();
+  attempt->number = ++last_attempt_number_;
+  attempt->upstream_id = upstream->record.id;
+  attempt->upstream_start_time_ms = upstream->StartTimeMs();
+  attempt->sent_at = now;
+  attempt->last_data_at = now;
+  last_upstream_ = attempt->upstream_id;
+  tried_upstreams_.insert(attempt->upstream_id);
   const HttpRequest& received = exchange_->request();
   HttpRequest request;
   request.method = received.method;
   request.target = received.target;
-  request.headers = platform::UpstreamHeaders(received.headers, fields);
+  request.headers = platform::UpstreamHeaders(
+      received.headers, MakeUpstreamFields(*upstream, attempt.get()));
   request.body = received.body;
   CallOptions options;
   options.connect_timeout = kConnectTimeout;
@@ -193,100 +231,79 @@
   options.fresh_connection = !route_->IsRetryable();
   options.echo_header = platform::RequestIdHeader();
   options.echo_value = fields_.request_id;
-  std::weak_ptr<FleetRequest> weak = weak_from_this();
-  CallEvents events;
-  events.on_head = [weak](const Http1Head& head) {
-    if (auto self = weak.lock()) self->OnHead(head);
-  };
-  events.on_data = [weak](std::string_view bytes) {
-    if (auto self = weak.lock()) self->OnData(bytes);
-  };
-  events.on_end = [weak](CallResult result) {
-    if (auto self = weak.lock()) self->OnCallEnd(std::move(result));
-  };
   ++attempts_;
-  sent_at_ = now;
-  last_data_at_ = now;
-  response_began_at_.reset();
-  streaming_ = false;
-  response_body_.clear();
-  framer_.Reset();
-  state_->registry.OnSent(upstream_id_, now);
+  state_->registry.OnSent(attempt->upstream_id, now);
   state_->rate_limits.OnSent(*upstream, WallClockMs());
   state_->rests.OnSent(*upstream, now);
-  sent_as_suspect_ = false;
   if (is_suspect_) {
-    sent_as_suspect_ = !state_->crash_correlator.HasActiveSuspect(upstream_id_);
-    state_->crash_correlator.AddActiveSuspect(upstream_id_);
-    counted_as_suspect_ = true;
+    attempt->sent_as_suspect =
+        !state_->crash_correlator.HasActiveSuspect(attempt->upstream_id);
+    state_->crash_correlator.AddActiveSuspect(attempt->upstream_id);
+    attempt->counted_as_suspect = true;
     ++state_->counters.suspects_sent;
-    PC_INFO(kRouter, "event=suspect_sent id=" << fields_.request_id
-                                              << " request=" << Fingerprint()
-                                              << " upstream=" << upstream_id_
-                                              << " alone=" << sent_as_suspect_);
+    PC_INFO(kRouter, "event=suspect_sent id="
+                         << fields_.request_id << " request=" << Fingerprint()
+                         << " upstream=" << attempt->upstream_id
+                         << " alone=" << attempt->sent_as_suspect);
   }
   if (!std::exchange(is_counted_, true)) {
     ++state_->counters.sent;
     state_->RetryBudgetFor(service_->name).OnRequest(now);
   }
-  call_ = state_->client->Send(upstream->record.endpoint, request, options,
-                               std::move(events));
-  PC_DEBUG(kRouter, "event=request_sent id=" << fields_.request_id
-                                             << " upstream=" << upstream_id_
-                                             << " attempt=" << attempts_);
+  in_flight_.push_back(attempt);
+  attempt->call =
+      state_->client->Send(upstream->record.endpoint, request, options,
+                           MakeCallEvents(attempt->number));
+  PC_DEBUG(kRouter, "event=request_sent id="
+                        << fields_.request_id << " upstream="
+                        << attempt->upstream_id << " attempt=" << attempts_);
 }
 
-void FleetRequest::OnHead(const Http1Head& head) {
+void FleetRequest::OnHead(FleetAttempt* attempt, const Http1Head& head) {
   ResponseFields response =
       platform::DecodeResponseFields(head.status, head.headers);
   MonotonicTime now = state_->Now();
-  state_->registry.OnProgress(upstream_id_, now);
-  if (const FleetUpstream* upstream = state_->registry.Find(upstream_id_))
-    state_->rate_limits.OnResponse(*upstream, response, sent_at_, now);
+  const std::string& id = attempt->upstream_id;
+  attempt->last_data_at = now;
+  state_->registry.OnProgress(id, now);
+  if (const FleetUpstream* upstream = state_->registry.Find(id))
+    state_->rate_limits.OnResponse(*upstream, response, attempt->sent_at, now);
   if (response.is_leaving) {
-    state_->registry.OnStatedLeaving(upstream_id_, upstream_start_time_ms_,
-                                     now);
-  }
-  state_->rests.OnResponse(upstream_id_, upstream_start_time_ms_, response,
-                           sent_at_, state_->RandomFraction(), now);
-  if (response.load) {
-    state_->registry.RecordResponseLoad(upstream_id_, *response.load, now);
+    state_->registry.OnStatedLeaving(id, attempt->upstream_start_time_ms, now);
   }
+  state_->rests.OnResponse(id, attempt->upstream_start_time_ms, response,
+                           attempt->sent_at, state_->RandomFraction(), now);
+  if (response.load)
+    state_->registry.RecordResponseLoad(id, *response.load, now);
   bool is_success = IsSuccess(head.status) && response.is_signed;
-  if (is_success) response_began_at_ = now;
-  streaming_ = route_->kind == RequestKind::kStream && is_success;
-  if (!streaming_) return;
-  if (event_count_ == 0) {
-    weights_version_ = response.weights_version;
-    // Forwards the response head before the first event, so that the caller
-    // learns immediately that its request is running.
-    if (!exchange_->started()) {
-      exchange_->StartStream(head.status, head.reason,
-                             platform::ResponseHeaders(head.headers));
-    }
+  if (is_success) attempt->response_began_at = now;
+  attempt->streaming = route_->kind == RequestKind::kStream && is_success;
+  attempt->response_weights = response.weights_version;
+  // Forwards the response head before the first event, so that the caller
+  // learns immediately that its request is running.
+  if (attempt->streaming && !exchange_->started()) {
+    exchange_->StartStream(head.status, head.reason,
+                           platform::ResponseHeaders(head.headers));
   }
 }
 
-void FleetRequest::OnData(std::string_view bytes) {
-  last_data_at_ = state_->Now();
-  state_->registry.OnProgress(upstream_id_, state_->Now());
-  if (!streaming_) {
-    if (bytes.size() > kMaxResponseBytes - response_body_.size())
-      return CutOffAttempt("response too large");
-    response_body_.append(bytes);
+void FleetRequest::OnData(FleetAttempt* attempt, std::string_view bytes) {
+  attempt->last_data_at = state_->Now();
+  state_->registry.OnProgress(attempt->upstream_id, attempt->last_data_at);
+  if (!attempt->streaming) {
+    if (bytes.size() > kMaxResponseBytes - attempt->response_body.size())
+      return OnAttemptFailure(attempt, "response too large");
+    attempt->response_body.append(bytes);
     return;
   }
-  framer_.Push(bytes, [this](const StreamEvent& event) { OnEvent(event); });
-  if (framer_.partial_bytes() > kMaxEventBytes)
-    CutOffAttempt("event too large");
-}
-
-void FleetRequest::CutOffAttempt(const char* why) {
-  call_.reset();
-  OnAttemptFailure(why);
+  attempt->framer.Push(bytes, [this, attempt](const StreamEvent& event) {
+    OnEvent(attempt, event);
+  });
+  if (attempt->framer.partial_bytes() > kMaxEventBytes)
+    OnAttemptFailure(attempt, "event too large");
 }
 
-void FleetRequest::OnEvent(const StreamEvent& event) {
+void FleetRequest::OnEvent(FleetAttempt* attempt, const StreamEvent& event) {
   if (event.id) {
     // A resumed stream may start with events that the caller has already
     // received.
@@ -295,11 +312,13 @@
     if (last && *event.id <= *last) return;
     last_event_id_ = event.id;
   }
+  KeepOnly(*attempt);
   MonotonicTime now = state_->Now();
   if (event_count_ > 0)
     longest_pause_ = std::max(longest_pause_, now - last_event_at_);
   last_event_at_ = now;
   if (event_count_++ == 0) {
+    weights_version_ = attempt->response_weights;
     first_event_at_ = now;
     state_->first_event_seconds->Observe(
         static_cast<double>((first_event_at_ - arrived_at_).count()) / 1000);
@@ -307,85 +326,101 @@
   exchange_->Write(event.text);
 }
 
-void FleetRequest::OnCallEnd(CallResult result) {
-  call_.reset();
+void FleetRequest::OnCallEnd(FleetAttempt* attempt, CallResult result) {
+  attempt->call.reset();
   if (ended_) return;
   switch (result.end) {
     case CallEnd::kNotSent:
-      --attempts_;
-      ++failed_connections_;
-      if (result.refused) state_->registry.OnConnectionRefused(upstream_id_);
-      state_->rate_limits.OnNotSent(upstream_id_, WallClockMs());
-      ReleaseUpstream(false);
-      if (failed_connections_ < kMaxFailedConnections && !IsBlocked() &&
-          TimeLeft() > Milliseconds(0)) {
-        return Dispatch();
-      }
-      return GiveUp("connection failed", kRetryElsewhereDelay);
+      return OnNotSent(attempt, result.refused);
     case CallEnd::kComplete:
-      return OnCompleteResponse(result);
+      return OnCompleteResponse(attempt, result);
     case CallEnd::kConnectionLost:
-      return OnAttemptFailure("connection lost");
+      return OnAttemptFailure(attempt, "connection lost");
     case CallEnd::kMalformed:
-      return OnAttemptFailure("malformed response");
+      return OnAttemptFailure(attempt, "malformed response");
     case CallEnd::kTimeout:
-      return OnAttemptFailure("response timeout");
+      return OnAttemptFailure(attempt, "response timeout");
+  }
+}
+
+void FleetRequest::OnNotSent(FleetAttempt* attempt, bool refused) {
+  --attempts_;
+  ++failed_connections_;
+  if (refused) state_->registry.OnConnectionRefused(attempt->upstream_id);
+  state_->rate_limits.OnNotSent(attempt->upstream_id, WallClockMs());
+  RemoveAttempt(*attempt,
+                refused ? UpstreamVerdict::kFailed : UpstreamVerdict::kSilent);
+  if (!in_flight_.empty()) return;
+  if (failed_connections_ < kMaxFailedConnections && !IsBlocked() &&
+      TimeLeft() > Milliseconds(0)) {
+    return Dispatch();
   }
+  GiveUp("connection failed", kRetryElsewhereDelay);
+}
+
+void FleetRequest::OnRefusal(FleetAttempt* attempt,
+                             const ResponseFields& response, int status) {
+  PC_INFO(kRouter,
+          "event=upstream_refused id="
+              << fields_.request_id << " upstream=" << attempt->upstream_id
+              << " status=" << status
+              << " rest_ms=" << (response.rest ? response.rest->count() : -1)
+              << " malformed=" << response.has_malformed_rest
+              << " leaving=" << response.is_leaving
+              << " other_attempts=" << in_flight_.size() - 1);
+  if (response.rest) ++state_->counters.rests_asked;
+  state_->registry.OnRefused(attempt->upstream_id, state_->Now());
+  ReleaseSuspect(attempt);
+  attempt->upstream_id.clear();
+  RemoveAttempt(*attempt, UpstreamVerdict::kUnknown);
+  if (execution_state_ == ExecutionState::kNotSent)
+    execution_state_ = ExecutionState::kRefused;
+  ContinueOrFail("upstream refused");
 }
 
-void FleetRequest::OnCompleteResponse(const CallResult& result) {
+void FleetRequest::OnCompleteResponse(FleetAttempt* attempt,
+                                      const CallResult& result) {
+  const Http1Head& head = *result.head;
   ResponseFields response =
-      platform::DecodeResponseFields(result.head->status, result.head->headers);
-  if (streaming_) {
-    if (framer_.partial_bytes() > 0)
-      return OnAttemptFailure("truncated event at end of stream");
-    RecordCompletion(result.head->status);
+      platform::DecodeResponseFields(head.status, head.headers);
+  if (attempt->streaming) {
+    if (attempt->framer.partial_bytes() > 0)
+      return OnAttemptFailure(attempt, "truncated event at end of stream");
+    KeepOnly(*attempt);
+    RecordCompletion(*attempt, head.status);
     exchange_->EndStream();
-    return Finish("answered", result.head->status, "");
-  }
-  if (response.not_executed) {
-    PC_INFO(kRouter, "event=upstream_refused id="
-                         << fields_.request_id << " upstream=" << upstream_id_
-                         << " status=" << result.head->status << " rest_ms="
-                         << (response.rest ? response.rest->count() : -1)
-                         << " malformed=" << response.has_malformed_rest
-                         << " leaving=" << response.is_leaving);
-    if (response.rest) ++state_->counters.rests_asked;
-    state_->registry.OnRefused(upstream_id_, state_->Now());
-    ReleaseSuspect();
-    upstream_id_.clear();
-    if (execution_state_ == ExecutionState::kNotSent)
-      execution_state_ = ExecutionState::kRefused;
-    return RetryOrFail("upstream refused");
-  }
-  if (IsSuccess(result.head->status) && !response.is_signed) {
-    return OnAttemptFailure("unsigned response");
+    return Finish("answered", head.status, "");
   }
-  bool ok = result.head->status < kStatusServerError;
-  RecordCompletion(result.head->status);
-  if (!ok && !exchange_->started()) {
+  if (response.not_executed) return OnRefusal(attempt, response, head.status);
+  if (IsSuccess(head.status) && !response.is_signed)
+    return OnAttemptFailure(attempt, "unsigned response");
+  bool failed = head.status >= kStatusServerError;
+  if (failed || exchange_->started()) {
+    bool is_last = in_flight_.size() == 1;
+    RecordCompletion(*attempt, head.status);
     execution_state_ = ExecutionState::kMayHaveExecuted;
-    auto placement = route_->IsRetryable() ? TryPlaceRetry() : std::nullopt;
-    if (placement) return StartAttempt(*placement);
+    if (!is_last) return;
+    if (exchange_->started())
+      return ContinueOrFail("upstream refused to resume the stream");
+    if (auto placement = TryPlaceRetry(RetryUrgency::kUrgent))
+      return StartAttempt(*placement);
+  } else {
+    KeepOnly(*attempt);
+    RecordCompletion(*attempt, head.status);
   }
-  if (exchange_->started()) {
-    exchange_->Abort();
-    return Finish("broken_off", result.head->status,
-                  "upstream refused to resume the stream");
-  }
-  exchange_->Respond(result.head->status, result.head->reason,
-                     platform::ResponseHeaders(result.head->headers),
-                     response_body_);
-  Finish("answered", result.head->status, "");
+  exchange_->Respond(head.status, head.reason,
+                     platform::ResponseHeaders(head.headers),
+                     attempt->response_body);
+  Finish("answered", head.status, "");
 }
 
-void FleetRequest::RecordCompletion(int status) {
+void FleetRequest::RecordCompletion(const FleetAttempt& attempt, int status) {
   MonotonicTime now = state_->Now();
-  // A response in time shows that the upstream is alive, whatever its status.
-  ReleaseUpstream(true);
-  state_->RecordServiceTime(service_->name, now - sent_at_);
   if (is_suspect_) state_->crash_correlator.OnCompleted(Fingerprint(), now);
-  if (IsSuccess(status)) RecordSoundExecution();
+  if (IsSuccess(status)) RecordSoundExecution(attempt);
+  state_->RecordServiceTime(service_->name, now - attempt.sent_at);
+  // A response in time shows that the upstream is alive, whatever its status.
+  RemoveAttempt(attempt, UpstreamVerdict::kSound);
 }
 
 void FleetRequest::Refuse(const char* why,
@@ -423,6 +458,7 @@
   ended_ = true;
   MonotonicTime now = state_->Now();
   deadline_timer_.Cancel();
+  CancelAttempts(UpstreamVerdict::kUnknown);
   EndPromptPartTest();
   if (std::string_view(outcome) == "answered") ++state_->counters.responded;
   if (std::string_view(outcome) == "broken_off") ++state_->counters.aborted;
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -8,17 +8,19 @@
 #include <string>
 #include <vector>
 
-#include "Core/Fleet/event_framer.h"
 #include "Core/Fleet/request_fields.h"
 #include "Core/Fleet/route_table.h"
 #include "Core/Net/http1_client.h"
 #include "Core/Net/http1_server.h"
+#include "Core/Router/fleet_attempt.h"
 #include "Core/Router/fleet_state.h"
 
 namespace primrosecove {
 
-/// Owns one exchange with a caller and the upstream calls made for it. Use it
-/// on its loop's thread only.
+/// Owns one exchange with a caller and the upstream calls made for it. If the
+/// upstream of a request falls silent, a second attempt may run beside the
+/// first; the first of them to continue the response is kept. Use it on its
+/// loop's thread only.
 class FleetRequest : public std::enable_shared_from_this<FleetRequest> {
  public:
   /// Precondition: `state` outlives this object.
@@ -27,14 +29,27 @@
 
   /// Starts processing; the request may have ended when it returns.
   void Start();
-  /// Retries on another upstream if the current one is silent or known to be
-  /// gone and the request may be retried.
+  /// Sends the request to a second upstream as well if the current one is
+  /// silent or known to be gone and the request may be retried.
   void CheckUpstream(MonotonicTime now);
+  /// Does not count `time` as silence of the upstreams, because this process
+  /// has not read from its connections meanwhile.
+  void ExcuseSilence(Milliseconds time);
   bool ended() const { return ended_; }
 
  private:
   // Whether any attempt may have executed the request.
   enum class ExecutionState { kNotSent, kRefused, kMayHaveExecuted };
+  // What the end of an attempt shows about its upstream.
+  enum class UpstreamVerdict { kSound, kFailed, kSilent, kUnknown };
+  enum class RetryUrgency {
+    kIfSlotsAreFree,  // The upstream is silent; it may well continue.
+    kUrgent,
+  };
+  struct RetryReason {
+    const char* why;
+    RetryUrgency urgency;
+  };
 
   // Retry-After of refusals where another router may accept the request
   // immediately, such as those for a stale configuration.
@@ -49,18 +64,14 @@
   bool CheckPromptParts();
   bool IsBlocked();
   uint64_t Fingerprint();
-  void RecordCompletion(int status);
-  // Records that the current attempt has not crashed its upstream.
-  void RecordSoundExecution();
+  void RecordCompletion(const FleetAttempt& attempt, int status);
+  // Records that an attempt has not crashed its upstream.
+  void RecordSoundExecution(const FleetAttempt& attempt);
   void EndPromptPartTest();
   // The first parts of the prompt.
   std::string PromptPartsForLog() const;
-  void RecordConnectionLoss();
-  void RecordLossIfSilent();
-  // For how long the current attempt's response has been arriving, or nothing
-  // if it has not begun.
-  std::optional<Milliseconds> RespondingTime() const;
-  void ReleaseSuspect();
+  void RecordConnectionLoss(const FleetAttempt& attempt);
+  void RecordLossIfSilent(const FleetAttempt& attempt);
   Placement ChoosePlacement(MonotonicTime now);
   // Mean service time of the request's service, measured or assumed.
   Milliseconds MeanServiceTime() const;
@@ -68,26 +79,46 @@
   void Dispatch();
   std::vector<FleetUpstream*> FindCandidates(MonotonicTime now);
   void StartAttempt(const Placement& placement);
-  void OnHead(const Http1Head& head);
-  void OnData(std::string_view bytes);
-  void OnEvent(const StreamEvent& event);
-  // Ends the current attempt, whose response exceeds a limit.
-  void CutOffAttempt(const char* why);
-  void OnCallEnd(CallResult result);
-  void OnCompleteResponse(const CallResult& result);
-  void OnAttemptFailure(const char* why);
-  void RetryOrFail(const char* why);
+  UpstreamFields MakeUpstreamFields(const FleetUpstream& upstream,
+                                    FleetAttempt* attempt);
+  CallEvents MakeCallEvents(uint64_t attempt_number);
+  std::shared_ptr<FleetAttempt> FindAttempt(uint64_t number);
+  void OnHead(FleetAttempt* attempt, const Http1Head& head);
+  void OnData(FleetAttempt* attempt, std::string_view bytes);
+  void OnEvent(FleetAttempt* attempt, const StreamEvent& event);
+  void OnCallEnd(FleetAttempt* attempt, CallResult result);
+  void OnNotSent(FleetAttempt* attempt, bool refused);
+  void OnCompleteResponse(FleetAttempt* attempt, const CallResult& result);
+  void OnRefusal(FleetAttempt* attempt, const ResponseFields& response,
+                 int status);
+  void OnAttemptFailure(FleetAttempt* attempt, const char* why);
+  // Ends the other attempt, because `attempt` continues the response.
+  void KeepOnly(const FleetAttempt& attempt);
+  // Continues with the other attempt, with another upstream, or not at all.
+  void ContinueOrFail(const char* why);
   // Ends the request without a retry: aborts a started response, fails if it
   // may have executed, else refuses.
   void GiveUp(const char* why, Milliseconds retry_after);
   // Returns a placement for a retry, or nothing if no retry is allowed or
   // possible. Uses one retry of the budget if it returns a placement.
-  std::optional<Placement> TryPlaceRetry();
-  void ReleaseUpstream(bool ok);
-  bool IsQueuedAtReloadingEngine(const FleetUpstream& upstream,
+  std::optional<Placement> TryPlaceRetry(RetryUrgency urgency);
+  // Returns why a second attempt is due, or nothing if none is.
+  std::optional<RetryReason> FindRetryReason(const FleetAttempt& attempt,
+                                             MonotonicTime now) const;
+  void StartSecondAttempt(const FleetAttempt& first, const RetryReason& reason,
+                          const Placement& placement, MonotonicTime now);
+  // Removes an attempt; its call is cancelled if it is still active.
+  void RemoveAttempt(const FleetAttempt& attempt, UpstreamVerdict verdict);
+  void ReleaseSuspect(FleetAttempt* attempt);
+  bool MayHaveExecuted() const;
+  bool IsQueuedAtReloadingEngine(const FleetAttempt& attempt,
+                                 const FleetUpstream& upstream,
                                  MonotonicTime now) const;
-  bool IsQueuedOnExpiringWeights(MonotonicTime now) const;
-  void CancelAttempt(const char* why);
+  bool IsQueuedOnExpiringWeights(const FleetAttempt& attempt,
+                                 MonotonicTime now) const;
+  void CancelAttempt(const FleetAttempt& attempt, const char* why);
+  // Cancels all attempts.
+  void CancelAttempts(UpstreamVerdict verdict);
   void HandleTimeout();
   void HandleDisconnect();
   Milliseconds TimeLeft() const;
@@ -109,16 +140,11 @@
   MonotonicTime deadline_{0};    // When the complete response is due.
   Timer deadline_timer_;
 
-  std::unique_ptr<Http1Call> call_;
-  std::string upstream_id_;
+  // In the order of their start. Two run only while the first one's upstream is
+  // silent or known to be gone.
+  std::vector<std::shared_ptr<FleetAttempt>> in_flight_;
+  uint64_t last_attempt_number_ = 0;
   std::string last_upstream_ = "-";
-  MonotonicTime sent_at_{0};
-  // When the current attempt's successful response began.
-  std::optional<MonotonicTime> response_began_at_;
-  int64_t upstream_start_time_ms_ = 0;    // Of the current attempt's upstream.
-  uint64_t attempt_weights_version_ = 0;  // 0 if none are needed.
-  MonotonicTime last_data_at_{
-      0};  // When the current attempt last received bytes.
   // The inputs of the last placement, for the log.
   int placement_load_ = 0;
   Milliseconds placement_wait_{0};
@@ -127,18 +153,14 @@
   std::optional<uint64_t> fingerprint_;
   std::vector<uint64_t> prompt_part_fingerprints_;
   std::optional<uint64_t> tested_prompt_part_;
-  bool is_sound_ = false;            // An attempt did not crash its upstream.
-  bool is_suspect_ = false;          // The request was running at a crash.
-  bool counted_as_suspect_ = false;  // By the crash correlator.
-  bool sent_as_suspect_ = false;     // No other suspect was there.
-  int attempts_ = 0;                 // Without those that failed to connect.
-  int failed_connections_ = 0;       // Attempts that failed to connect.
-  bool is_counted_ = false;          // By the retry budget.
+  bool is_sound_ = false;       // An attempt did not crash its upstream.
+  bool is_suspect_ = false;     // The request was running at a crash.
+  int attempts_ = 0;            // Without those that failed to connect.
+  int failed_connections_ = 0;  // Attempts that failed to connect.
+  bool is_counted_ = false;     // By the retry budget.
+  // Of the attempts that have ended.
   ExecutionState execution_state_ = ExecutionState::kNotSent;
 
-  bool streaming_ = false;     // The current response is an event stream.
-  std::string response_body_;  // Of a response that is not a stream.
-  EventFramer framer_;
   std::optional<uint64_t> last_event_id_;
   std::optional<uint64_t>
       weights_version_;  // Weights that produced the forwarded events.
--- a/Source/Core/Router/fleet_request_failure.cc
+++ b/Source/Core/Router/fleet_request_failure.cc
@@ -1,7 +1,6 @@
-// Attempts of a FleetRequest that fail, or end without a response: retries on
-// other upstreams, and what is recorded about the lost ones.
+// Attempts of a FleetRequest that fail, fall silent, or end without a response:
+// retries on other upstreams, and what is recorded about the lost ones.
 #include <algorithm>
-#include <span>
 #include <string>
 #include <utility>
 
@@ -11,15 +10,20 @@
 namespace primrosecove {
 namespace {
 
-// An engine with running requests sends events several times a second, so one
-// that sends nothing on any connection for this long has stopped.
-constexpr Milliseconds kSilenceTimeout{900};
-// Silence after which an upstream that its agent can't reach either is
-// considered gone.
+// A sound upstream may be silent for a second or two. A second attempt beside
+// the first costs another execution, so it starts after kMinSilence only where
+// slots are free, and elsewhere after kLongSilence. Callers of a stream leave
+// after three seconds without an event.
+constexpr Milliseconds kMinSilence{900};
+constexpr Milliseconds kLongSilence{2200};
+// Share of a service's engines above which a silence is not the upstream's own:
+// moving its requests would only load the others.
+constexpr double kMaxSilentShare = 0.25;
+// Silence after which an upstream that refuses connections is considered gone.
 constexpr Milliseconds kUnreachableSilenceTimeout{350};
 // Time without data after which a request with no first event is cancelled at a
 // silent engine if no retry is possible.
-constexpr Milliseconds kUnstartedRequestTimeout{1600};
+constexpr Milliseconds kUnstartedRequestTimeout{2600};
 // An engine that starts a request immediately sends its first event within this
 // time.
 constexpr Milliseconds kMaxImmediateStartTime{350};
@@ -33,35 +37,36 @@
 
 }  // namespace
 
-void FleetRequest::OnAttemptFailure(const char* why) {
-  PC_INFO(kRouter, "event=attempt_failed id=" << fields_.request_id
-                                              << " upstream=" << upstream_id_
-                                              << " events=" << event_count_
-                                              << " why=\"" << why << "\"");
-  RecordConnectionLoss();
-  ReleaseUpstream(false);
-  execution_state_ = ExecutionState::kMayHaveExecuted;
-  RetryOrFail(why);
+bool FleetRequest::MayHaveExecuted() const {
+  return execution_state_ == ExecutionState::kMayHaveExecuted ||
+         !in_flight_.empty();
 }
 
-std::optional<Milliseconds> FleetRequest::RespondingTime() const {
-  if (!response_began_at_) return std::nullopt;
-  return std::max(last_data_at_ - *response_began_at_, Milliseconds(0));
+void FleetRequest::OnAttemptFailure(FleetAttempt* attempt, const char* why) {
+  PC_INFO(kRouter, "event=attempt_failed id="
+                       << fields_.request_id
+                       << " upstream=" << attempt->upstream_id
+                       << " events=" << event_count_ << " why=\"" << why << "\""
+                       << " other_attempts=" << in_flight_.size() - 1);
+  RecordConnectionLoss(*attempt);
+  RemoveAttempt(*attempt, UpstreamVerdict::kFailed);
+  execution_state_ = ExecutionState::kMayHaveExecuted;
+  ContinueOrFail(why);
 }
 
-void FleetRequest::RecordConnectionLoss() {
+void FleetRequest::RecordConnectionLoss(const FleetAttempt& attempt) {
   MonotonicTime now = state_->Now();
-  auto responding_time = RespondingTime();
+  auto responding_time = attempt.RespondingTime();
   if (!responding_time) ++state_->counters.losses_before_response;
   PC_INFO(kRouter, "event=attempt_lost id="
                        << fields_.request_id << " request=" << Fingerprint()
-                       << " upstream=" << upstream_id_ << " sent_ago_ms="
-                       << (now - sent_at_).count() << " responding_ms="
+                       << " upstream=" << attempt.upstream_id << " sent_ago_ms="
+                       << (now - attempt.sent_at).count() << " responding_ms="
                        << (responding_time ? responding_time->count() : -1)
                        << " parts=" << PromptPartsForLog());
   state_->crash_correlator.OnConnectionLost(
-      {Fingerprint(), upstream_id_, sent_as_suspect_, sent_at_,
-       prompt_part_fingerprints_, responding_time},
+      {Fingerprint(), attempt.upstream_id, attempt.sent_as_suspect,
+       attempt.sent_at, prompt_part_fingerprints_, responding_time},
       now);
   is_suspect_ =
       is_suspect_ || state_->crash_correlator.Classify(Fingerprint(), now) !=
@@ -71,147 +76,237 @@
 // An attempt that this router ends counts as lost if its upstream has crashed.
 // The upstream's silence on all connections distinguishes this from an attempt
 // that was merely slow.
-void FleetRequest::RecordLossIfSilent() {
-  if (call_ == nullptr) return;
-  const FleetUpstream* upstream = state_->registry.Find(upstream_id_);
-  MonotonicTime last_sign = upstream == nullptr
-                                ? last_data_at_
-                                : std::max(upstream->last_progress, sent_at_);
+void FleetRequest::RecordLossIfSilent(const FleetAttempt& attempt) {
+  const FleetUpstream* upstream = state_->registry.Find(attempt.upstream_id);
+  MonotonicTime last_sign =
+      upstream == nullptr ? attempt.last_data_at
+                          : std::max(upstream->last_progress, attempt.sent_at);
   if (state_->Now() - last_sign > kUnreachableSilenceTimeout)
-    RecordConnectionLoss();
+    RecordConnectionLoss(attempt);
 }
 
-std::optional<Placement> FleetRequest::TryPlaceRetry() {
+std::optional<Placement> FleetRequest::TryPlaceRetry(RetryUrgency urgency) {
   if (attempts_ >= route_->max_attempts) return std::nullopt;
-  if (execution_state_ == ExecutionState::kMayHaveExecuted &&
-      !route_->IsRetryable())
-    return std::nullopt;
+  if (MayHaveExecuted() && !route_->IsRetryable()) return std::nullopt;
   if (TimeLeft() <= Milliseconds(0) || IsBlocked()) return std::nullopt;
-  // The budget is charged only if an upstream is available.
-  Placement placement = ChoosePlacement(state_->Now());
+  MonotonicTime now = state_->Now();
+  Placement placement = ChoosePlacement(now);
   if (placement.upstream == nullptr) return std::nullopt;
-  if (!state_->RetryBudgetFor(service_->name).TryRetry(state_->Now())) {
+  if (urgency == RetryUrgency::kIfSlotsAreFree &&
+      (!placement.upstream->HasFreeSlots(now) ||
+       state_->registry.SilentShare(service_->name) > kMaxSilentShare)) {
     return std::nullopt;
   }
+  // The budget is charged only if an upstream is available.
+  if (!state_->RetryBudgetFor(service_->name).TryRetry(now))
+    return std::nullopt;
   ++state_->counters.retries;
   if (event_count_ > 0) ++state_->counters.resumed_streams;
   return placement;
 }
 
-void FleetRequest::RetryOrFail(const char* why) {
-  if (auto placement = TryPlaceRetry()) return StartAttempt(*placement);
+void FleetRequest::ContinueOrFail(const char* why) {
+  if (!in_flight_.empty()) return;
+  if (auto placement = TryPlaceRetry(RetryUrgency::kUrgent))
+    return StartAttempt(*placement);
   GiveUp(why, kRetryElsewhereDelay);
 }
 
-void FleetRequest::ReleaseSuspect() {
-  if (!std::exchange(counted_as_suspect_, false)) return;
-  state_->crash_correlator.RemoveActiveSuspect(upstream_id_);
+void FleetRequest::ReleaseSuspect(FleetAttempt* attempt) {
+  if (!std::exchange(attempt->counted_as_suspect, false)) return;
+  state_->crash_correlator.RemoveActiveSuspect(attempt->upstream_id);
 }
 
-void FleetRequest::ReleaseUpstream(bool ok) {
-  if (upstream_id_.empty()) return;
-  ReleaseSuspect();
-  state_->registry.OnEnded(upstream_id_, ok, state_->Now());
-  upstream_id_.clear();
+void FleetRequest::RemoveAttempt(const FleetAttempt& attempt,
+                                 UpstreamVerdict verdict) {
+  auto it = std::find_if(
+      in_flight_.begin(), in_flight_.end(),
+      [&attempt](const auto& other) { return other.get() == &attempt; });
+  if (it == in_flight_.end()) return;
+  std::shared_ptr<FleetAttempt> removed = std::move(*it);
+  in_flight_.erase(it);
+  removed->call.reset();
+  if (removed->upstream_id.empty()) return;
+  ReleaseSuspect(removed.get());
+  UpstreamRegistry& registry = state_->registry;
+  MonotonicTime now = state_->Now();
+  switch (verdict) {
+    case UpstreamVerdict::kSound:
+      return registry.OnEnded(removed->upstream_id, true, now);
+    case UpstreamVerdict::kFailed:
+      return registry.OnEnded(removed->upstream_id, false, now);
+    case UpstreamVerdict::kSilent:
+      return registry.OnEndedSilent(removed->upstream_id, now);
+    case UpstreamVerdict::kUnknown:
+      return registry.OnCancelled(removed->upstream_id);
+  }
 }
 
-void FleetRequest::CheckUpstream(MonotonicTime now) {
-  if (ended_ || call_ == nullptr) return;
-  if (!is_sound_ && RespondingTime() >= PromptPartScreen::kSoundExecutionTime) {
-    RecordSoundExecution();
+void FleetRequest::KeepOnly(const FleetAttempt& attempt) {
+  if (in_flight_.size() < 2) return;
+  auto others = in_flight_;
+  for (const auto& it : others) {
+    if (it.get() == &attempt) continue;
+    const FleetUpstream* upstream = state_->registry.Find(it->upstream_id);
+    bool is_silent = upstream == nullptr || upstream->silent_since.has_value();
+    PC_INFO(kRouter,
+            "event=attempt_superseded id="
+                << fields_.request_id << " upstream=" << it->upstream_id
+                << " by=" << attempt.upstream_id
+                << " quiet_ms=" << (state_->Now() - it->last_data_at).count()
+                << " upstream_silent=" << is_silent);
+    RecordLossIfSilent(*it);
+    RemoveAttempt(
+        *it, is_silent ? UpstreamVerdict::kSilent : UpstreamVerdict::kUnknown);
+    execution_state_ = ExecutionState::kMayHaveExecuted;
   }
-  if (IsQueuedOnExpiringWeights(now))
-    return CancelAttempt("weights too old to start on");
-  if (!route_->IsRetryable() || attempts_ >= route_->max_attempts) return;
-  const FleetUpstream* upstream = state_->registry.Find(upstream_id_);
-  bool lost = false;
-  const char* why = "upstream is silent";
+}
+
+std::optional<FleetRequest::RetryReason> FleetRequest::FindRetryReason(
+    const FleetAttempt& attempt, MonotonicTime now) const {
+  const FleetUpstream* upstream = state_->registry.Find(attempt.upstream_id);
   if (upstream == nullptr) {
     // An upstream that is no longer registered still completes its requests.
-    lost = now - last_data_at_ > kUnregisteredSilenceTimeout;
-  } else if (upstream->status && !upstream->status->reachable &&
-             now - upstream->status_received_at <
-                 UpstreamRegistry::kStatusLifetime) {
-    // A draining upstream accepts no new connections, not even its agent's, but
-    // still completes its requests. Silence alone shows that it is gone.
-    lost = now - std::max(upstream->last_progress, sent_at_) >
-           kUnreachableSilenceTimeout;
-    why = "upstream is unreachable and silent";
-  } else if (IsQueuedAtReloadingEngine(*upstream, now)) {
-    lost = true;
-    why = "engine is loading weights";
-  } else if (service_->engine) {
-    lost = now - std::max(upstream->last_progress, sent_at_) > kSilenceTimeout;
-  } else if (route_->kind == RequestKind::kIdempotent) {
-    Milliseconds mean = MeanServiceTime();
-    auto overdue_time =
-        std::max(kMinOverdueTime,
-                 Milliseconds(static_cast<int64_t>(
-                     kOverdueFactor * static_cast<double>(mean.count()))));
-    lost = now - sent_at_ > overdue_time;
-    why = "response is overdue";
+    if (now - attempt.last_data_at <= kUnregisteredSilenceTimeout)
+      return std::nullopt;
+    return RetryReason{"upstream is unregistered and silent",
+                       RetryUrgency::kUrgent};
+  }
+  Milliseconds quiet = now - std::max(upstream->last_progress, attempt.sent_at);
+  bool has_status = upstream->status && now - upstream->status_received_at <
+                                            UpstreamRegistry::kStatusLifetime;
+  // A draining upstream accepts no new connections, not even its agent's, but
+  // still completes its requests.
+  if (has_status && !upstream->status->reachable) {
+    if (quiet <= kUnreachableSilenceTimeout) return std::nullopt;
+    return RetryReason{"upstream is unreachable and silent",
+                       RetryUrgency::kUrgent};
+  }
+  if (IsQueuedAtReloadingEngine(attempt, *upstream, now))
+    return RetryReason{"engine is loading weights", RetryUrgency::kUrgent};
+  if (service_->engine) {
+    if (quiet > kLongSilence)
+      return RetryReason{"upstream is silent for long", RetryUrgency::kUrgent};
+    if (quiet > kMinSilence)
+      return RetryReason{"upstream is silent", RetryUrgency::kIfSlotsAreFree};
+    return std::nullopt;
+  }
+  if (route_->kind != RequestKind::kIdempotent) return std::nullopt;
+  auto mean = static_cast<double>(MeanServiceTime().count());
+  auto overdue_time =
+      std::max(kMinOverdueTime,
+               Milliseconds(static_cast<int64_t>(kOverdueFactor * mean)));
+  if (now - attempt.sent_at <= overdue_time) return std::nullopt;
+  return RetryReason{"response is overdue", RetryUrgency::kUrgent};
+}
+
+void FleetRequest::CheckUpstream(MonotonicTime now) {
+  if (ended_ || in_flight_.empty()) return;
+  auto attempts = in_flight_;
+  for (const auto& it : attempts) {
+    if (!is_sound_ &&
+        it->RespondingTime() >= PromptPartScreen::kSoundExecutionTime) {
+      RecordSoundExecution(*it);
+    }
+    if (IsQueuedOnExpiringWeights(*it, now)) {
+      CancelAttempt(*it, "weights too old to start on");
+      if (ended_) return;
+    }
+  }
+  if (in_flight_.empty()) return;
+  std::shared_ptr<FleetAttempt> attempt = in_flight_.front();
+  auto reason = FindRetryReason(*attempt, now);
+  if (!reason) return;
+  if (in_flight_.size() == 1 && route_->IsRetryable()) {
+    if (auto placement = TryPlaceRetry(reason->urgency))
+      return StartSecondAttempt(*attempt, *reason, *placement, now);
   }
-  if (!lost) return;
-  ExecutionState previous =
-      std::exchange(execution_state_, ExecutionState::kMayHaveExecuted);
-  auto placement = TryPlaceRetry();
-  if (!placement) {
-    execution_state_ = previous;
-    // The caller can still try another router. A stopped engine would execute
-    // the request after that caller has left.
-    bool should_cancel = service_->engine && event_count_ == 0 &&
-                         !exchange_->started() &&
-                         now - last_data_at_ > kUnstartedRequestTimeout;
-    if (should_cancel) CancelAttempt(why);
+  // The caller can still try another router. A stopped engine would execute
+  // the request after that caller has left.
+  bool is_stuck =
+      std::all_of(in_flight_.begin(), in_flight_.end(), [&](const auto& it) {
+        return now - it->last_data_at > kUnstartedRequestTimeout &&
+               FindRetryReason(*it, now).has_value();
+      });
+  if (!is_stuck || !service_->engine || event_count_ > 0 ||
+      exchange_->started()) {
     return;
   }
-  PC_INFO(kRouter, "event=attempt_abandoned id="
-                       << fields_.request_id << " upstream=" << upstream_id_
+  PC_INFO(kRouter, "event=request_stuck id=" << fields_.request_id
+                                             << " attempts=" << attempts_);
+  CancelAttempts(UpstreamVerdict::kUnknown);
+  GiveUp(reason->why, kRetryElsewhereDelay);
+}
+
+// The first attempt goes on, because the second one may be refused, and a
+// silent upstream may continue at any time.
+void FleetRequest::StartSecondAttempt(const FleetAttempt& first,
+                                      const RetryReason& reason,
+                                      const Placement& placement,
+                                      MonotonicTime now) {
+  PC_INFO(kRouter, "event=second_attempt id="
+                       << fields_.request_id
+                       << " upstream=" << first.upstream_id
+                       << " second=" << placement.upstream->record.id
                        << " events=" << event_count_
-                       << " quiet_ms=" << (now - last_data_at_).count()
-                       << " why=\"" << why << "\"");
-  call_.reset();
-  RecordConnectionLoss();
-  ReleaseUpstream(false);
-  StartAttempt(*placement);
+                       << " quiet_ms=" << (now - first.last_data_at).count()
+                       << " why=\"" << reason.why << "\"");
+  ++state_->counters.second_attempts;
+  StartAttempt(placement);
+}
+
+void FleetRequest::ExcuseSilence(Milliseconds time) {
+  for (const auto& it : in_flight_) {
+    it->last_data_at = std::min(it->last_data_at + time, state_->Now());
+  }
 }
 
 // An engine that reloads weights starts no request until its running requests
 // have ended and the weights are loaded, which takes seconds. A request that
 // was sent just before the load order waits for both.
-bool FleetRequest::IsQueuedAtReloadingEngine(const FleetUpstream& upstream,
+bool FleetRequest::IsQueuedAtReloadingEngine(const FleetAttempt& attempt,
+                                             const FleetUpstream& upstream,
                                              MonotonicTime now) const {
   return event_count_ == 0 && upstream.status && upstream.status->loading &&
          now - upstream.status_received_at <
              UpstreamRegistry::kStatusLifetime &&
-         now - sent_at_ > kMaxImmediateStartTime;
+         now - attempt.sent_at > kMaxImmediateStartTime;
 }
 
 // Whether the request is still queued at an engine whose weights are about to
 // be too old to start on.
-bool FleetRequest::IsQueuedOnExpiringWeights(MonotonicTime now) const {
-  if (attempt_weights_version_ == 0 || event_count_ > 0) return false;
-  return attempt_weights_version_ <
+bool FleetRequest::IsQueuedOnExpiringWeights(const FleetAttempt& attempt,
+                                             MonotonicTime now) const {
+  if (attempt.weights_version == 0 || event_count_ > 0) return false;
+  return attempt.weights_version <
          state_->minimum_versions.MinimumToStart(fields_.model, now);
 }
 
-void FleetRequest::CancelAttempt(const char* why) {
+void FleetRequest::CancelAttempt(const FleetAttempt& attempt, const char* why) {
   PC_INFO(kRouter, "event=attempt_abandoned id="
-                       << fields_.request_id << " upstream=" << upstream_id_
-                       << " events=0 why=\"" << why << "\"");
-  RecordLossIfSilent();
-  call_.reset();
-  ReleaseUpstream(true);
+                       << fields_.request_id << " upstream="
+                       << attempt.upstream_id << " events=0 quiet_ms="
+                       << (state_->Now() - attempt.last_data_at).count()
+                       << " why=\"" << why << "\"");
+  RecordLossIfSilent(attempt);
+  RemoveAttempt(attempt, UpstreamVerdict::kUnknown);
   execution_state_ = ExecutionState::kMayHaveExecuted;
-  RetryOrFail(why);
+  ContinueOrFail(why);
+}
+
+void FleetRequest::CancelAttempts(UpstreamVerdict verdict) {
+  auto attempts = in_flight_;
+  for (const auto& it : attempts) {
+    RecordLossIfSilent(*it);
+    RemoveAttempt(*it, verdict);
+    execution_state_ = ExecutionState::kMayHaveExecuted;
+  }
 }
 
 void FleetRequest::HandleTimeout() {
   if (ended_) return;
-  if (call_ != nullptr) execution_state_ = ExecutionState::kMayHaveExecuted;
-  RecordLossIfSilent();
-  call_.reset();
-  ReleaseUpstream(service_->engine.has_value());
+  CancelAttempts(service_->engine ? UpstreamVerdict::kUnknown
+                                  : UpstreamVerdict::kFailed);
   if (!exchange_->started() &&
       execution_state_ == ExecutionState::kMayHaveExecuted) {
     return Fail(504, "Gateway Timeout", "request deadline exceeded");
@@ -222,9 +317,7 @@
 void FleetRequest::HandleDisconnect() {
   if (ended_) return;
   ++state_->counters.caller_disconnects;
-  RecordLossIfSilent();
-  call_.reset();
-  ReleaseUpstream(true);
+  CancelAttempts(UpstreamVerdict::kUnknown);
   Finish("caller_gone", 0, "");
 }
 
--- a/Source/Core/Router/fleet_request_suspicion.cc
+++ b/Source/Core/Router/fleet_request_suspicion.cc
@@ -94,19 +94,18 @@
   }
   if (is_sound_) return false;
   // A test may have crashed its upstream, which is detected later.
-  if (tested_prompt_part_)
-    return execution_state_ == ExecutionState::kMayHaveExecuted;
+  if (tested_prompt_part_) return MayHaveExecuted();
   auto action =
       correlator.CheckPromptParts(prompt_part_fingerprints_, now).action;
   return action == PromptPartAction::kTest ||
          action == PromptPartAction::kRefuse;
 }
 
-void FleetRequest::RecordSoundExecution() {
+void FleetRequest::RecordSoundExecution(const FleetAttempt& attempt) {
   MonotonicTime now = state_->Now();
   is_sound_ = true;
   state_->crash_correlator.OnSoundExecution(
-      prompt_part_fingerprints_, response_began_at_.value_or(now), now);
+      prompt_part_fingerprints_, attempt.response_began_at.value_or(now), now);
   EndPromptPartTest();
 }
 
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -22,6 +22,9 @@
 constexpr Milliseconds kUpdatePeriod{1000};
 // Requests on a lost upstream are detected and retried at this interval.
 constexpr Milliseconds kRequestCheckPeriod{100};
+// A longer time between two checks shows that this process has been stopped or
+// was short of processor time.
+constexpr Milliseconds kMaxCheckDelay{300};
 constexpr Milliseconds kLogFlushPeriod{100};
 // Interval at which the known rate limits are sent to the relays.
 constexpr Milliseconds kRateLimitReportPeriod{500};
@@ -156,6 +159,7 @@
     state_.rate_limits.Update(state_.registry, state_.Now());
     state_.rests.RemoveExpired(state_.Now());
   });
+  last_check_at_ = state_.Now();
   request_check_timer_ =
       loop_->Every(kRequestCheckPeriod, [this] { CheckRequests(); });
   log_flush_timer_ = loop_->Every(kLogFlushPeriod, [] { FlushLogs(); });
@@ -341,6 +345,7 @@
 
 void FleetRouter::CheckRequests() {
   MonotonicTime now = state_.Now();
+  ExcuseOwnStall(now);
   state_.registry.Expire(now);
   state_.registry.UpdateSilence(now);
   ReportCrashes(now);
@@ -351,6 +356,15 @@
   for (auto& it : all) it->CheckUpstream(now);
 }
 
+// While this process does not run, data of upstreams waits in its sockets.
+void FleetRouter::ExcuseOwnStall(MonotonicTime now) {
+  Milliseconds stall = now - std::exchange(last_check_at_, now);
+  if (stall <= kMaxCheckDelay) return;
+  PC_WARN(kRouter, "event=process_stalled ms=" << stall.count());
+  state_.registry.ExcuseSilence(stall, now);
+  for (auto& [key, request] : state_.requests) request->ExcuseSilence(stall);
+}
+
 // Routers have no addresses of each other, so agents forward crash reports to
 // all routers that they receive updates from.
 void FleetRouter::ReportCrashes(MonotonicTime now) {
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -66,6 +66,7 @@
   void SendDeploymentUpdates();
   std::vector<DeploymentUpdate> MakeDeploymentUpdates();
   void CheckRequests();
+  void ExcuseOwnStall(MonotonicTime now);
   void ReportCrashes(MonotonicTime now);
   std::vector<Endpoint> Relays(MonotonicTime now) const;
   void SendToRelays(const FleetMessage& message, MonotonicTime now);
@@ -97,6 +98,7 @@
   Timer rate_limit_report_timer_;
   Timer rate_limit_log_timer_;
   Timer request_check_timer_;
+  MonotonicTime last_check_at_{0};
   Timer stop_check_timer_;
   Timer log_flush_timer_;
 };
--- a/Source/Core/Router/fleet_state.h
+++ b/Source/Core/Router/fleet_state.h
@@ -37,6 +37,7 @@
   uint64_t caller_disconnects = 0;
   uint64_t retries = 0;
   uint64_t resumed_streams = 0;
+  uint64_t second_attempts = 0;         ///< Started beside the first one.
   uint64_t crash_observations = 0;      ///< Made by this router itself.
   uint64_t losses_before_response = 0;  ///< Lost before a response began.
   uint64_t suspects_sent = 0;
--- a/Source/UnitTests/Fleet/upstream_registry_test.cc
+++ b/Source/UnitTests/Fleet/upstream_registry_test.cc
@@ -284,5 +284,49 @@
   CHECK(it->ExpectedLoad(MonotonicTime(9000)) == 3);
 }
 
+// Guards against crash evidence, and an ejection that outlasts the silence, for
+// an upstream that falls silent and goes on.
+TEST_CASE("a silent upstream has not crashed and is used again at once") {
+  struct Row {
+    const char* name;
+    bool by_agent;
+    Milliseconds own_stall;  // Of this process.
+    bool is_silent;
+  };
+  const Row rows[] = {
+      {"no data for its requests", false, Milliseconds(0), true},
+      {"no response to its agent", true, Milliseconds(0), true},
+      {"this process stood still", false, Milliseconds(900), false},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    UpstreamRegistry registry;
+    registry.Apply(Registered("a"), MonotonicTime(-9000), MonotonicTime(0));
+    UpstreamStatus status;
+    status.upstream = registry.Find("a")->record.endpoint;
+    status.sequence = 1;
+    status.reachable = true;
+    registry.RecordStatus(status, MonotonicTime(0));
+    for (int i = 0; i < 4; ++i) registry.OnSent("a", MonotonicTime(0));
+    status.sequence = 2;
+    status.responding = !row.by_agent;
+    registry.RecordStatus(status, MonotonicTime(500));
+    registry.ExcuseSilence(row.own_stall, MonotonicTime(900));
+    registry.UpdateSilence(MonotonicTime(1000));
+    CHECK(registry.Find("a")->silent_since.has_value() == row.is_silent);
+    // The last three failures would eject it.
+    for (int i = 0; i < 3; ++i)
+      registry.OnEndedSilent("a", MonotonicTime(1000));
+    status.sequence = 3;
+    status.responding = true;
+    registry.RecordStatus(status, MonotonicTime(1100));
+    registry.OnProgress("a", MonotonicTime(1100));
+    registry.UpdateSilence(MonotonicTime(1100));
+    CHECK_FALSE(registry.Find("a")->silent_since.has_value());
+    CHECK(MonotonicTime(1100) >= registry.Find("a")->ejected_until);
+    CHECK(registry.PopCrashes().empty());
+  }
+}
+
 }  // namespace
 }  // namespace primrosecove
