Count and log connections that close under their callers

Http1Server counts idle closes, closes with bytes unread or dropped, dropped bytes, and connections beyond the limit, and writes one line a second at most with the longest idle time and the limit in force. The router exports them with the number of open connections.

--- a/Source/Core/Net/http1_server.cc
+++ b/Source/Core/Net/http1_server.cc
@@ -3,17 +3,23 @@
 #include <event2/buffer.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <utility>
 #include <vector>
 
+#include "Core/Common/log.h"
+
 namespace primrosecove {
 namespace {
 
 constexpr Milliseconds kSweepPeriod{250};
+// Closed connections are summed up in one log line for this time.
+constexpr Milliseconds kLogPeriod{1000};
 // Bounds the bytes of pipelined requests that a client may send before its
 // response is complete; beyond the limit reading stops.
 constexpr size_t kMaxPipelinedBytes = 64 << 10;
@@ -30,6 +36,12 @@
   return out.append("\r\n");
 }
 
+// Returns the number of bytes that wait in the socket.
+size_t BytesInSocket(evutil_socket_t fd) {
+  int out = 0;
+  return ioctl(fd, FIONREAD, &out) == 0 ? static_cast<size_t>(out) : 0;
+}
+
 }  // namespace
 
 class Http1ServerConnection
@@ -76,6 +88,7 @@
   void HandleDisconnect();
   void DispatchRequest();
   void RejectRequest(int status, std::string_view reason);
+  void DropInput();
   void Remove();
   void Free();
 
@@ -88,6 +101,7 @@
   bool head_received_ = false;
   bool body_too_large_ = false;
   bool closing_ = false;
+  bool has_dropped_input_ = false;
   SteadyTime phase_start_;  // start of the current phase: idle or closing
   SteadyTime message_start_;
   std::shared_ptr<Http1Exchange> exchange_;
@@ -134,10 +148,7 @@
 
 void Http1ServerConnection::Read() {
   evbuffer* in = bufferevent_get_input(bev_);
-  if (closing_) {
-    evbuffer_drain(in, evbuffer_get_length(in));
-    return;
-  }
+  if (closing_) return DropInput();
   if (exchange_ != nullptr) {
     if (evbuffer_get_length(in) > kMaxPipelinedBytes) {
       bufferevent_disable(bev_, EV_READ);
@@ -199,10 +210,20 @@
   if (closing_ || bev_ == nullptr) return;
   closing_ = true;
   phase_start_ = EventLoop::Now();
+  DropInput();
   bufferevent_enable(bev_, EV_READ);
   HandleDrained();
 }
 
+void Http1ServerConnection::DropInput() {
+  evbuffer* in = bufferevent_get_input(bev_);
+  size_t n = evbuffer_get_length(in);
+  if (n == 0) return;
+  has_dropped_input_ = true;
+  if (server_ != nullptr) server_->counters_.dropped_bytes += n;
+  evbuffer_drain(in, n);
+}
+
 void Http1ServerConnection::HandleDrained() {
   if (!closing_ || bev_ == nullptr || pending_bytes() > 0) return;
   shutdown(bufferevent_getfd(bev_), SHUT_WR);
@@ -244,7 +265,12 @@
     return;
   }
   if (!parser_->in_message()) {
-    if (now - phase_start_ > limits.idle_timeout) CloseGracefully();
+    auto idle_time =
+        std::chrono::duration_cast<Milliseconds>(now - phase_start_);
+    if (idle_time <= limits.idle_timeout) return;
+    ++server_->counters_.idle_closed;
+    server_->longest_idle_ = std::max(server_->longest_idle_, idle_time);
+    CloseGracefully();
     return;
   }
   Milliseconds timeout =
@@ -254,6 +280,10 @@
 
 void Http1ServerConnection::Remove() {
   auto self = shared_from_this();
+  if (server_ != nullptr && closing_ && bev_ != nullptr &&
+      (has_dropped_input_ || BytesInSocket(bufferevent_getfd(bev_)) > 0)) {
+    ++server_->counters_.closed_with_unread;
+  }
   Free();
   if (server_ != nullptr) server_->connections_.erase(this);
 }
@@ -350,6 +380,7 @@
 Http1Server::Http1Server(EventLoop* loop, Limits limits, Handler handler)
     : loop_(loop), limits_(limits), handler_(std::move(handler)) {
   sweep_timer_ = loop_->Every(kSweepPeriod, [this] { Sweep(); });
+  log_timer_ = loop_->Every(kLogPeriod, [this] { LogClosed(); });
 }
 
 Http1Server::~Http1Server() {
@@ -359,6 +390,7 @@
 
 Result<void> Http1Server::Listen(const Endpoint& endpoint) {
   constexpr int kBacklog = 1024;
+  endpoint_ = endpoint;
   sockaddr_in address = endpoint.ToSockaddr();
   listener_ = evconnlistener_new_bind(
       loop_->base(), OnAccept, this,
@@ -376,6 +408,7 @@
                            void* arg) {
   auto* self = static_cast<Http1Server*>(arg);
   if (self->connections_.size() >= self->limits_.max_connections) {
+    ++self->counters_.refused_connections;
     evutil_closesocket(fd);
     return;
   }
@@ -407,4 +440,21 @@
   for (auto& it : all) it->CheckTimeouts(now);
 }
 
+void Http1Server::LogClosed() {
+  auto idle_closed = counters_.idle_closed - logged_.idle_closed;
+  auto with_unread = counters_.closed_with_unread - logged_.closed_with_unread;
+  auto dropped_bytes = counters_.dropped_bytes - logged_.dropped_bytes;
+  auto refused = counters_.refused_connections - logged_.refused_connections;
+  logged_ = counters_;
+  auto longest_idle = std::exchange(longest_idle_, Milliseconds(0));
+  if (idle_closed + with_unread + dropped_bytes + refused == 0) return;
+  PC_INFO(kNet, "event=connections_closed at="
+                    << endpoint_.ToString() << " idle=" << idle_closed
+                    << " longest_idle_ms=" << longest_idle.count()
+                    << " idle_timeout_ms=" << limits_.idle_timeout.count()
+                    << " with_unread=" << with_unread << " dropped_bytes="
+                    << dropped_bytes << " refused=" << refused
+                    << " open=" << connections_.size());
+}
+
 }  // namespace primrosecove
--- a/Source/Core/Net/http1_server.h
+++ b/Source/Core/Net/http1_server.h
@@ -75,6 +75,15 @@
   std::function<void()> on_disconnect_;
 };
 
+/// Counts why an Http1Server closed connections.
+struct Http1ServerCounters {
+  uint64_t idle_closed = 0;  ///< Closed because they were idle.
+  /// Closed while bytes of the client were unread or had been dropped.
+  uint64_t closed_with_unread = 0;
+  uint64_t dropped_bytes = 0;  ///< Read on closing connections and dropped.
+  uint64_t refused_connections = 0;  ///< Beyond `max_connections`.
+};
+
 /// Accepts connections and passes each complete request to one handler. Use it
 /// on its loop's thread only.
 class Http1Server {
@@ -106,6 +115,7 @@
   /// Returns the number of requests that the handler has not completed.
   size_t in_flight() const { return in_flight_; }
   size_t connections() const { return connections_.size(); }
+  const Http1ServerCounters& counters() const { return counters_; }
   /// Returns the bytes of responses that are not yet written to the clients'
   /// sockets.
   size_t unsent_bytes() const;
@@ -116,6 +126,7 @@
   static void OnAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int,
                        void* arg);
   void Sweep();
+  void LogClosed();
 
   EventLoop* loop_;
   Limits limits_;
@@ -125,7 +136,12 @@
       connections_;
   size_t in_flight_ = 0;
   bool draining_ = false;
+  Endpoint endpoint_;
+  Http1ServerCounters counters_;
+  Http1ServerCounters logged_;
+  Milliseconds longest_idle_{0};  ///< Of those closed since the last line.
   Timer sweep_timer_;
+  Timer log_timer_;
 };
 
 }  // namespace primrosecove
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -52,6 +52,7 @@
   void AddMetrics();
   void AddCrashMetrics();
   void AddRateLimitMetrics();
+  void AddConnectionMetrics();
   void HandleRequest(std::shared_ptr<Http1Exchange> exchange);
   void HandleReadiness(std::shared_ptr<Http1Exchange> exchange);
   void ApplyChange(const DeploymentChange& change);
--- a/Source/Core/Router/fleet_router_metrics.cc
+++ b/Source/Core/Router/fleet_router_metrics.cc
@@ -58,6 +58,7 @@
   }
   AddCrashMetrics();
   AddRateLimitMetrics();
+  AddConnectionMetrics();
   metrics_.AddGauge(
       "primrosecove_router_config_version",
       "Version of the configuration in force", {}, [this] {
@@ -144,4 +145,42 @@
                     });
 }
 
+void FleetRouter::AddConnectionMetrics() {
+  struct Row {
+    const char* name;
+    const char* help;
+    uint64_t Http1ServerCounters::*member;
+  };
+  static constexpr Row kRows[] = {
+      {"idle_connections_closed_total",
+       "Connections of callers closed because they were idle",
+       &Http1ServerCounters::idle_closed},
+      {"connections_closed_with_unread_total",
+       "Connections of callers closed with bytes unread or dropped",
+       &Http1ServerCounters::closed_with_unread},
+      {"dropped_bytes_total",
+       "Bytes of callers read on closing connections and dropped",
+       &Http1ServerCounters::dropped_bytes},
+      {"connections_refused_total", "Connections of callers beyond the limit",
+       &Http1ServerCounters::refused_connections},
+  };
+  for (const Row& row : kRows) {
+    metrics_.AddCounter(
+        std::string("primrosecove_router_") + row.name, row.help, {},
+        [this, row] {
+          return caller_server_ == nullptr
+                     ? 0.0
+                     : static_cast<double>(caller_server_->counters().*
+                                           row.member);
+        });
+  }
+  metrics_.AddGauge(
+      "primrosecove_router_connections", "Open connections of callers", {},
+      [this] {
+        return caller_server_ == nullptr
+                   ? 0.0
+                   : static_cast<double>(caller_server_->connections());
+      });
+}
+
 }  // namespace primrosecove
