Keep a connection's limits while it is idle or sends a request

The other limits also came in force in the middle of a request, although SetLimits promises "requests that begin from now on": a request whose head or body was arriving was rejected with 408 or 413.

A connection now records the limits when its idle phase and when its message begins. An idle connection keeps the longer of the old and the new idle time until its next use, so it is bounded by the time that it began under.

Evidence: both new tests failed before. "a shorter idle time applies to a connection from its next use": no response to the second request. "new limits apply to the requests that begin after them": no response in any of three rows (408, 408, 413).

--- a/Source/Core/Net/http1_server.cc
+++ b/Source/Core/Net/http1_server.cc
@@ -102,8 +102,10 @@
   bool body_too_large_ = false;
   bool closing_ = false;
   bool has_dropped_input_ = false;
-  SteadyTime phase_start_;  // start of the current phase: idle or closing
+  SteadyTime phase_start_;     // start of the current phase: idle or closing
+  Milliseconds idle_timeout_;  // in force at the start of the idle phase
   SteadyTime message_start_;
+  Http1Server::Limits message_limits_;  // in force at the message's start
   std::shared_ptr<Http1Exchange> exchange_;
 };
 
@@ -112,7 +114,8 @@
     : server_(server),
       bev_(bufferevent_socket_new(server->loop_->base(), fd,
                                   BEV_OPT_CLOSE_ON_FREE)),
-      phase_start_(EventLoop::Now()) {
+      phase_start_(EventLoop::Now()),
+      idle_timeout_(server->limits_.idle_timeout) {
   Http1Parser::Events events;
   events.on_head = [this](Http1Head head) {
     head_received_ = true;
@@ -121,13 +124,13 @@
     request_.headers = std::move(head.headers);
     request_keep_alive_ = head.keep_alive;
     body_too_large_ =
-        head.content_length.value_or(0) > server_->limits_.max_body_bytes;
+        head.content_length.value_or(0) > message_limits_.max_body_bytes;
     auto expect = request_.headers.Find("Expect");
     if (expect && !body_too_large_) Write("HTTP/1.1 100 Continue\r\n\r\n");
   };
   events.on_body = [this](std::string_view body_data) {
     if (request_.body.size() + body_data.size() >
-        server_->limits_.max_body_bytes) {
+        message_limits_.max_body_bytes) {
       body_too_large_ = true;
     }
     if (!body_too_large_) request_.body.append(body_data);
@@ -158,7 +161,10 @@
   while (bev_ != nullptr && !closing_ && exchange_ == nullptr) {
     size_t n = evbuffer_get_contiguous_space(in);
     if (n == 0) return;
-    if (!parser_->in_message()) message_start_ = EventLoop::Now();
+    if (!parser_->in_message()) {
+      message_start_ = EventLoop::Now();
+      message_limits_ = server_->limits_;
+    }
     auto* data = reinterpret_cast<char*>(evbuffer_pullup(in, n));
     size_t used = parser_->Parse({data, n});
     evbuffer_drain(in, used);
@@ -186,8 +192,11 @@
 void Http1ServerConnection::CompleteResponse(bool keep_alive) {
   auto self = shared_from_this();
   exchange_.reset();
-  if (server_ != nullptr) --server_->in_flight_;
   phase_start_ = EventLoop::Now();
+  if (server_ != nullptr) {
+    --server_->in_flight_;
+    idle_timeout_ = server_->limits_.idle_timeout;
+  }
   if (!keep_alive) return CloseGracefully();
   if (bev_ == nullptr) return;
   bufferevent_enable(bev_, EV_READ);
@@ -255,7 +264,6 @@
 }
 
 void Http1ServerConnection::CheckTimeouts(SteadyTime now) {
-  const Http1Server::Limits& limits = server_->limits_;
   if (closing_) {
     if (now - phase_start_ > kLingerTimeout) Remove();
     return;
@@ -267,14 +275,16 @@
   if (!parser_->in_message()) {
     auto idle_time =
         std::chrono::duration_cast<Milliseconds>(now - phase_start_);
-    if (idle_time <= limits.idle_timeout) return;
+    // The client may not know a shorter limit that came in force meanwhile.
+    if (idle_time <= std::max(idle_timeout_, server_->limits_.idle_timeout))
+      return;
     ++server_->counters_.idle_closed;
     server_->longest_idle_ = std::max(server_->longest_idle_, idle_time);
     CloseGracefully();
     return;
   }
-  Milliseconds timeout =
-      head_received_ ? limits.request_timeout : limits.head_timeout;
+  Milliseconds timeout = head_received_ ? message_limits_.request_timeout
+                                        : message_limits_.head_timeout;
   if (now - message_start_ > timeout) RejectRequest(408, "Request Timeout");
 }
 
--- a/Source/Core/Net/http1_server.h
+++ b/Source/Core/Net/http1_server.h
@@ -104,7 +104,8 @@
   ~Http1Server();
   /// Binds and listens; fails with kUnavailable when the address is in use.
   Result<void> Listen(const Endpoint& endpoint);
-  /// Sets the limits for requests that begin from now on.
+  /// Sets the limits for connections and requests that begin from now on. A
+  /// connection that is idle keeps the longer idle timeout until its next use.
   void SetLimits(const Limits& limits) { limits_ = limits; }
   const Limits& limits() const { return limits_; }
   /// From now on every response has the header field "Connection: close";
--- /dev/null
+++ b/Source/UnitTests/Net/http1_close_test.cc
@@ -0,0 +1,124 @@
+// Tests that an Http1Server closes no connection under a request: what it has
+// read gets a response, and what it does not answer it does not read.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "../raw_caller.h"
+#include "../test_support.h"
+#include "Core/Net/http1_server.h"
+
+namespace primrosecove {
+namespace {
+
+constexpr Milliseconds kLongTimeout{60'000};
+constexpr Milliseconds kShortTimeout{1};
+
+std::string RequestText(const std::string& target) {
+  return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
+// Echoes the targets of requests; holds those to "/hold".
+class ServerFixture {
+ public:
+  ServerFixture(int group, Http1Server::Limits limits)
+      : endpoint(TestEndpoint(group, 1)),
+        server(&loop, limits, [this](std::shared_ptr<Http1Exchange> exchange) {
+          executed.push_back(exchange->request().target);
+          if (executed.back() == "/hold") {
+            held = std::move(exchange);
+          } else {
+            Respond(*exchange);
+          }
+        }) {
+    if (!server.Listen(endpoint)) FAIL("listen");
+  }
+  static void Respond(Http1Exchange& exchange) {
+    exchange.Respond(200, "OK", {}, exchange.request().target + ";");
+  }
+  // Sends a request and waits for its response.
+  void Exchange(RawCaller* caller, const std::string& target) {
+    caller->Send(RequestText(target));
+    RunUntil(&loop, [&] {
+      return caller->ended() || caller->has_received(target + ";");
+    });
+  }
+
+  Endpoint endpoint;
+  EventLoop loop;
+  std::vector<std::string> executed;
+  std::shared_ptr<Http1Exchange> held;
+  Http1Server server;
+};
+
+// Guards against a change of the configuration that closes all connections that
+// have been idle for longer than the new time, under callers that still count
+// on the old one.
+TEST_CASE("a shorter idle time applies to a connection from its next use",
+          "[http1][close]") {
+  Http1Server::Limits limits;
+  limits.idle_timeout = kLongTimeout;
+  ServerFixture fixture(200, limits);
+  RawCaller kept(fixture.endpoint);
+  fixture.Exchange(&kept, "/1");
+  limits.idle_timeout = kShortTimeout;
+  fixture.server.SetLimits(limits);
+  RawCaller later(fixture.endpoint);
+  RunUntil(&fixture.loop, [&] { return later.ended(); });
+  fixture.Exchange(&kept, "/2");
+  CHECK(kept.has_received("/2;"));
+  RunUntil(&fixture.loop, [&] { return kept.ended(); });
+  CHECK(fixture.server.counters().idle_closed == 2);
+  CHECK(fixture.server.counters().dropped_bytes == 0);
+}
+
+// Guards against a change of the configuration that rejects requests that began
+// under the previous one.
+TEST_CASE("new limits apply to the requests that begin after them",
+          "[http1][close]") {
+  struct Row {
+    const char* name;
+    Http1Server::Limits shorter;
+    std::string first;
+    std::string rest;
+    const char* rejection;
+  };
+  const std::string head = "POST /1 HTTP/1.1\r\nContent-Length: 4\r\n";
+  const Row rows[] = {
+      {"head",
+       {.head_timeout = kShortTimeout},
+       head,
+       "\r\nbody",
+       "HTTP/1.1 408"},
+      {"body",
+       {.request_timeout = kShortTimeout},
+       head + "\r\nbo",
+       "dy",
+       "HTTP/1.1 408"},
+      {"size", {.max_body_bytes = 3}, head + "\r\nbo", "dy", "HTTP/1.1 413"},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    ServerFixture fixture(201, {});
+    RawCaller caller(fixture.endpoint);
+    fixture.Exchange(&caller, "/0");
+    caller.Send(row.first);
+    // The loop reads the waiting bytes of all connections in one iteration.
+    RawCaller other(fixture.endpoint);
+    fixture.Exchange(&other, "/0");
+    fixture.server.SetLimits(row.shorter);
+    RawCaller later(fixture.endpoint);
+    later.Send(row.first);
+    RunUntil(&fixture.loop, [&] { return later.has_received(row.rejection); });
+    caller.Send(row.rest);
+    RunUntil(&fixture.loop,
+             [&] { return caller.ended() || caller.has_received("/1;"); });
+    CHECK(caller.has_received("/1;"));
+  }
+}
+
+}  // namespace
+}  // namespace primrosecove
