Serve a request that waits in the socket before an idle close

A request that had arrived between the last read and the close was then read and dropped, without a response. The less processor time a process gets, the longer that gap is.

While draining, the response announces the close.

--- a/Source/Core/Net/http1_server.cc
+++ b/Source/Core/Net/http1_server.cc
@@ -65,7 +65,9 @@
   void Abort();
   bool draining() const { return server_ != nullptr && server_->draining_; }
   void CheckTimeouts(SteadyTime now);
-  bool idle() const { return exchange_ == nullptr && !parser_->in_message(); }
+  bool idle() const {
+    return exchange_ == nullptr && !parser_->in_message() && !HasUnreadBytes();
+  }
   // Closes after the written bytes are sent and the client has closed its side.
   void CloseGracefully();
   void Detach();
@@ -83,6 +85,11 @@
     auto self = static_cast<Http1ServerConnection*>(arg)->shared_from_this();
     self->HandleDisconnect();
   }
+  bool HasUnreadBytes() const {
+    return bev_ != nullptr &&
+           (evbuffer_get_length(bufferevent_get_input(bev_)) > 0 ||
+            BytesInSocket(bufferevent_getfd(bev_)) > 0);
+  }
   void Read();
   void HandleDrained();
   void HandleDisconnect();
@@ -276,8 +283,10 @@
     auto idle_time =
         std::chrono::duration_cast<Milliseconds>(now - phase_start_);
     // The client may not know a shorter limit that came in force meanwhile.
-    if (idle_time <= std::max(idle_timeout_, server_->limits_.idle_timeout))
-      return;
+    Milliseconds timeout =
+        std::max(idle_timeout_, server_->limits_.idle_timeout);
+    // Unread bytes are read in the next loop iteration.
+    if (idle_time <= timeout || HasUnreadBytes()) return;
     ++server_->counters_.idle_closed;
     server_->longest_idle_ = std::max(server_->longest_idle_, idle_time);
     CloseGracefully();
--- a/Source/Core/Net/http1_server.h
+++ b/Source/Core/Net/http1_server.h
@@ -111,7 +111,8 @@
   /// From now on every response has the header field "Connection: close";
   /// connections are still accepted.
   void BeginDrain() { draining_ = true; }
-  /// Closes the connections that have no request in progress.
+  /// Closes the connections that have no request in progress and none in their
+  /// socket.
   void CloseIdle();
   /// Returns the number of requests that the handler has not completed.
   size_t in_flight() const { return in_flight_; }
--- a/Source/UnitTests/Net/http1_close_test.cc
+++ b/Source/UnitTests/Net/http1_close_test.cc
@@ -120,5 +120,31 @@
   }
 }
 
+// Guards against an idle time that ends, or a stop that begins, between the
+// arrival of a request and its reading.
+TEST_CASE("a request that waits in the socket is served before a close",
+          "[http1][close]") {
+  Http1Server::Limits limits;
+  limits.idle_timeout = Milliseconds(100);
+  ServerFixture fixture(202, limits);
+  RawCaller caller(fixture.endpoint);
+  fixture.Exchange(&caller, "/1");
+  SECTION("the idle time ends") {
+    // After the process has stood still, the sweep is due in the same loop
+    // iteration as the callback.
+    fixture.loop.Post([&] { caller.Send(RequestText("/2")); });
+    std::this_thread::sleep_for(Milliseconds(400));
+  }
+  SECTION("idle connections are closed at a stop") {
+    caller.Send(RequestText("/2"));
+    fixture.server.BeginDrain();
+    fixture.server.CloseIdle();
+  }
+  RunUntil(&fixture.loop, [&] { return caller.ended(); });
+  CHECK(caller.has_received("/2;"));
+  CHECK(fixture.server.counters().dropped_bytes == 0);
+  CHECK(fixture.server.counters().closed_with_unread == 0);
+}
+
 }  // namespace
 }  // namespace primrosecove
