Leave unread what arrives at a connection that closes

A closing connection read and dropped all bytes until the client closed its side, whole requests too. A caller may repeat a request that may run only once only after a refusal, or if the connection was closed without the request having been read, so a request that crossed the close was lost for good.

A closing connection no longer reads from its socket. It learns of the client's close from the socket's state. If a request arrives at a connection that was closed idle, the connection is reset at once, which tells the client that the request was not read; behind a last response the reset waits until the client has closed or the linger time is over, because it could overtake the response. Only the rest of a request that was rejected midway is still read, since its client may not look for the response before it has sent all.

--- a/Source/Core/Net/http1_server.cc
+++ b/Source/Core/Net/http1_server.cc
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -24,7 +25,7 @@
 // response is complete; beyond the limit reading stops.
 constexpr size_t kMaxPipelinedBytes = 64 << 10;
 // How long a closing connection waits for the client to close its side. Closing
-// a socket with unread bytes would reset the connection and lose the response.
+// a socket with unread bytes resets the connection and may lose the response.
 constexpr Milliseconds kLingerTimeout{2000};
 // Beyond this size of unsent responses the client is treated as disconnected,
 // because it does not read.
@@ -42,6 +43,12 @@
   return ioctl(fd, FIONREAD, &out) == 0 ? static_cast<size_t>(out) : 0;
 }
 
+// Returns whether the peer has closed its side, even if bytes are unread.
+bool IsClosedByPeer(evutil_socket_t fd) {
+  pollfd it{.fd = fd, .events = POLLRDHUP, .revents = 0};
+  return poll(&it, 1, 0) == 1;
+}
+
 }  // namespace
 
 class Http1ServerConnection
@@ -69,7 +76,10 @@
     return exchange_ == nullptr && !parser_->in_message() && !HasUnreadBytes();
   }
   // Closes after the written bytes are sent and the client has closed its side.
+  // Later bytes of the client are not read.
   void CloseGracefully();
+  // Closes a connection without a request. Precondition: idle().
+  void CloseIdle();
   void Detach();
 
  private:
@@ -81,6 +91,9 @@
     auto self = static_cast<Http1ServerConnection*>(arg)->shared_from_this();
     self->HandleDrained();
   }
+  static void OnReadableWhileClosing(evutil_socket_t, short, void* arg) {
+    static_cast<Http1ServerConnection*>(arg)->CheckClosedByClient();
+  }
   static void OnEvent(bufferevent*, short, void* arg) {
     auto self = static_cast<Http1ServerConnection*>(arg)->shared_from_this();
     self->HandleDisconnect();
@@ -96,11 +109,13 @@
   void DispatchRequest();
   void RejectRequest(int status, std::string_view reason);
   void DropInput();
+  void CheckClosedByClient();
   void Remove();
   void Free();
 
   Http1Server* server_;
   bufferevent* bev_;
+  event* closing_event_ = nullptr;  // The socket is readable while closing.
   std::unique_ptr<Http1Parser> parser_;
   HttpRequest request_;
   bool request_keep_alive_ = false;
@@ -109,6 +124,8 @@
   bool body_too_large_ = false;
   bool closing_ = false;
   bool has_dropped_input_ = false;
+  bool is_rejecting_ = false;  // The rest of the request is read and dropped.
+  bool closed_idle_ = false;   // No response is on its way to the client.
   SteadyTime phase_start_;     // start of the current phase: idle or closing
   Milliseconds idle_timeout_;  // in force at the start of the idle phase
   SteadyTime message_start_;
@@ -219,6 +236,7 @@
 void Http1ServerConnection::RejectRequest(int status, std::string_view reason) {
   Write(StatusLine(status, reason) +
         "Content-Length: 0\r\nConnection: close\r\n\r\n");
+  is_rejecting_ = true;
   CloseGracefully();
 }
 
@@ -227,10 +245,32 @@
   closing_ = true;
   phase_start_ = EventLoop::Now();
   DropInput();
-  bufferevent_enable(bev_, EV_READ);
+  if (is_rejecting_) {
+    // A client that is still sending its request may not read the response
+    // before it has sent all.
+    bufferevent_enable(bev_, EV_READ);
+  } else {
+    bufferevent_disable(bev_, EV_READ);
+    closing_event_ = event_new(server_->loop_->base(), bufferevent_getfd(bev_),
+                               EV_READ, OnReadableWhileClosing, this);
+    event_add(closing_event_, nullptr);
+  }
   HandleDrained();
 }
 
+void Http1ServerConnection::CheckClosedByClient() {
+  // With bytes that stay unread the event would be active at once again, so
+  // from here on the sweep checks. The reset that ends an idle connection tells
+  // the client that its request was not read.
+  if (closed_idle_ || IsClosedByPeer(bufferevent_getfd(bev_))) Remove();
+}
+
+void Http1ServerConnection::CloseIdle() {
+  if (closing_) return;
+  closed_idle_ = true;
+  CloseGracefully();
+}
+
 void Http1ServerConnection::DropInput() {
   evbuffer* in = bufferevent_get_input(bev_);
   size_t n = evbuffer_get_length(in);
@@ -271,8 +311,12 @@
 }
 
 void Http1ServerConnection::CheckTimeouts(SteadyTime now) {
+  if (bev_ == nullptr) return;
   if (closing_) {
-    if (now - phase_start_ > kLingerTimeout) Remove();
+    if (now - phase_start_ > kLingerTimeout ||
+        IsClosedByPeer(bufferevent_getfd(bev_))) {
+      Remove();
+    }
     return;
   }
   if (exchange_ != nullptr) {
@@ -289,7 +333,7 @@
     if (idle_time <= timeout || HasUnreadBytes()) return;
     ++server_->counters_.idle_closed;
     server_->longest_idle_ = std::max(server_->longest_idle_, idle_time);
-    CloseGracefully();
+    CloseIdle();
     return;
   }
   Milliseconds timeout = head_received_ ? message_limits_.request_timeout
@@ -314,6 +358,8 @@
 }
 
 void Http1ServerConnection::Free() {
+  if (closing_event_ != nullptr) event_free(closing_event_);
+  closing_event_ = nullptr;
   if (bev_ != nullptr) bufferevent_free(bev_);
   bev_ = nullptr;
 }
@@ -441,7 +487,7 @@
   for (auto& [key, connection] : connections_) {
     if (connection->idle()) idle.push_back(connection);
   }
-  for (auto& it : idle) it->CloseGracefully();
+  for (auto& it : idle) it->CloseIdle();
 }
 
 size_t Http1Server::unsent_bytes() const {
--- a/Source/UnitTests/Net/http1_close_test.cc
+++ b/Source/UnitTests/Net/http1_close_test.cc
@@ -146,5 +146,29 @@
   CHECK(fixture.server.counters().closed_with_unread == 0);
 }
 
+// Guards against a request that is read and dropped: its caller may try a
+// request that may run only once again only if the server has not read it.
+TEST_CASE("a request that arrives after the close is not read",
+          "[http1][close]") {
+  ServerFixture fixture(203, {});
+  RawCaller caller(fixture.endpoint);
+  fixture.Exchange(&caller, "/1");
+  SECTION("the connection was idle") {
+    fixture.server.CloseIdle();
+    caller.Send(RequestText("/2"));
+  }
+  SECTION("its last response closes it") {
+    fixture.server.BeginDrain();
+    fixture.Exchange(&caller, "/2");
+    CHECK(caller.has_received("Connection: close"));
+    RunUntil(&fixture.loop, [&] { return caller.ended(); });
+    caller.Send(RequestText("/3"));
+  }
+  RunUntil(&fixture.loop, [&] { return fixture.server.connections() == 0; });
+  CHECK(fixture.executed.back() != "/3");
+  CHECK(fixture.server.counters().dropped_bytes == 0);
+  CHECK(fixture.server.counters().closed_with_unread == 1);
+}
+
 }  // namespace
 }  // namespace primrosecove
