Serve a request that was read behind another one during a drain

After the stop began, every response announced the close, also one behind which the connection's next request had already been read. That request was dropped without a response.

A response announces the close only if no bytes of another request have been read. What is read while a streamed response that has announced the close is still running is dropped as before, and counted in dropped_bytes.

Evidence: "a request read behind another one is served during a drain" failed before: no response to the second request, 28 bytes dropped, 0 expected. With the change [http1] passes (146 assertions).

--- a/Source/Core/Net/http1_server.cc
+++ b/Source/Core/Net/http1_server.cc
@@ -70,7 +70,12 @@
   void CompleteResponse(bool keep_alive);
   // Resets the connection immediately; written bytes may be lost.
   void Abort();
-  bool draining() const { return server_ != nullptr && server_->draining_; }
+  // Whether the next response announces the close. It does not while bytes of
+  // another request have been read, so that this one is served too.
+  bool draining() const {
+    return server_ != nullptr && server_->draining_ && bev_ != nullptr &&
+           evbuffer_get_length(bufferevent_get_input(bev_)) == 0;
+  }
   void CheckTimeouts(SteadyTime now);
   bool idle() const {
     return exchange_ == nullptr && !parser_->in_message() && !HasUnreadBytes();
--- a/Source/Core/Net/http1_server.h
+++ b/Source/Core/Net/http1_server.h
@@ -108,8 +108,9 @@
   /// connection that is idle keeps the longer idle timeout until its next use.
   void SetLimits(const Limits& limits) { limits_ = limits; }
   const Limits& limits() const { return limits_; }
-  /// From now on every response has the header field "Connection: close";
-  /// connections are still accepted.
+  /// From now on the last response to the requests that have been read on a
+  /// connection has the header field "Connection: close"; connections are still
+  /// accepted.
   void BeginDrain() { draining_ = true; }
   /// Closes the connections that have no request in progress and none in their
   /// socket.
--- a/Source/UnitTests/Net/http1_close_test.cc
+++ b/Source/UnitTests/Net/http1_close_test.cc
@@ -170,5 +170,21 @@
   CHECK(fixture.server.counters().closed_with_unread == 1);
 }
 
+// Guards against a stop that announces the close although the connection's next
+// request has been read.
+TEST_CASE("a request read behind another one is served during a drain",
+          "[http1][close]") {
+  ServerFixture fixture(204, {});
+  RawCaller caller(fixture.endpoint);
+  caller.Send(RequestText("/hold") + RequestText("/2"));
+  RunUntil(&fixture.loop, [&] { return fixture.held != nullptr; });
+  fixture.server.BeginDrain();
+  ServerFixture::Respond(*fixture.held);
+  RunUntil(&fixture.loop, [&] { return caller.ended(); });
+  CHECK(caller.has_received("/hold;"));
+  CHECK(caller.has_received("/2;"));
+  CHECK(fixture.server.counters().dropped_bytes == 0);
+}
+
 }  // namespace
 }  // namespace primrosecove
