Answer connections beyond the limit instead of closing them

At max_connections the server accepted a connection and closed it without a word, even while most of the others were idle.

A new connection now takes the place of the one that has been idle for longest since its last response. Connections that have no response yet, or whose socket holds unread bytes, keep their place. If none is idle, the request on the new connection is refused with 503, Retry-After and Connection: close, and isn't passed to the handler. At most 32 such connections are open at one time, so that the descriptors stay bounded; beyond them a connection is closed unread as before. Both are counted, exported and logged.

--- a/Source/Core/Net/http1_server.cc
+++ b/Source/Core/Net/http1_server.cc
@@ -31,6 +31,9 @@
 // because it does not read.
 constexpr size_t kMaxUnsentResponseBytes = 4 << 20;
 
+// Of the response to a request on a connection beyond the limit.
+constexpr char kRefusalHeaders[] = "Retry-After: 1\r\n";
+
 std::string StatusLine(int status, std::string_view reason) {
   std::string out = "HTTP/1.1 ";
   out.append(std::to_string(status)).append(" ").append(reason);
@@ -54,7 +57,7 @@
 class Http1ServerConnection
     : public std::enable_shared_from_this<Http1ServerConnection> {
  public:
-  Http1ServerConnection(Http1Server* server, evutil_socket_t fd);
+  Http1ServerConnection(Http1Server* server, evutil_socket_t fd, bool refuses);
   ~Http1ServerConnection() { Free(); }
 
   void Start();
@@ -83,6 +86,13 @@
   // Closes after the written bytes are sent and the client has closed its side.
   // Later bytes of the client are not read.
   void CloseGracefully();
+  // Returns whether it is idle since its last response, which has been sent.
+  bool replaceable() const {
+    return has_responded_ && !closing_ && pending_bytes() == 0 && idle();
+  }
+  SteadyTime phase_start() const { return phase_start_; }
+  // Closes a connection without a request at once. Precondition: replaceable().
+  void Replace() { Remove(); }
   // Closes a connection without a request. Precondition: idle().
   void CloseIdle();
   void Detach();
@@ -112,13 +122,18 @@
   void HandleDrained();
   void HandleDisconnect();
   void DispatchRequest();
-  void RejectRequest(int status, std::string_view reason);
+  void RejectRequest(int status, std::string_view reason,
+                     std::string_view extra_headers = "");
+  // Refuses the request as not run.
+  void Refuse();
   void DropInput();
   void CheckClosedByClient();
   void Remove();
   void Free();
 
   Http1Server* server_;
+  const bool
+      refuses_;  // Its request is refused, because it is beyond the limit.
   bufferevent* bev_;
   event* closing_event_ = nullptr;  // The socket is readable while closing.
   std::unique_ptr<Http1Parser> parser_;
@@ -128,6 +143,7 @@
   bool head_received_ = false;
   bool body_too_large_ = false;
   bool closing_ = false;
+  bool has_responded_ = false;
   bool has_dropped_input_ = false;
   bool is_rejecting_ = false;  // The rest of the request is read and dropped.
   bool closed_idle_ = false;   // No response is on its way to the client.
@@ -139,8 +155,9 @@
 };
 
 Http1ServerConnection::Http1ServerConnection(Http1Server* server,
-                                             evutil_socket_t fd)
+                                             evutil_socket_t fd, bool refuses)
     : server_(server),
+      refuses_(refuses),
       bev_(bufferevent_socket_new(server->loop_->base(), fd,
                                   BEV_OPT_CLOSE_ON_FREE)),
       phase_start_(EventLoop::Now()),
@@ -155,14 +172,15 @@
     body_too_large_ =
         head.content_length.value_or(0) > message_limits_.max_body_bytes;
     auto expect = request_.headers.Find("Expect");
-    if (expect && !body_too_large_) Write("HTTP/1.1 100 Continue\r\n\r\n");
+    if (expect && !body_too_large_ && !refuses_)
+      Write("HTTP/1.1 100 Continue\r\n\r\n");
   };
   events.on_body = [this](std::string_view body_data) {
     if (request_.body.size() + body_data.size() >
         message_limits_.max_body_bytes) {
       body_too_large_ = true;
     }
-    if (!body_too_large_) request_.body.append(body_data);
+    if (!body_too_large_ && !refuses_) request_.body.append(body_data);
   };
   events.on_complete = [this] { request_complete_ = true; };
   parser_ = std::make_unique<Http1Parser>(Http1Parser::Kind::kRequest,
@@ -202,6 +220,7 @@
       return RejectRequest(431, "Request Header Fields Too Large");
     }
     if (parser_->failed()) return RejectRequest(400, "Bad Request");
+    if (refuses_ && (head_received_ || request_complete_)) return Refuse();
     if (request_complete_) DispatchRequest();
   }
 }
@@ -222,6 +241,7 @@
   auto self = shared_from_this();
   exchange_.reset();
   phase_start_ = EventLoop::Now();
+  has_responded_ = true;
   if (server_ != nullptr) {
     --server_->in_flight_;
     idle_timeout_ = server_->limits_.idle_timeout;
@@ -238,13 +258,18 @@
   });
 }
 
-void Http1ServerConnection::RejectRequest(int status, std::string_view reason) {
-  Write(StatusLine(status, reason) +
+void Http1ServerConnection::RejectRequest(int status, std::string_view reason,
+                                          std::string_view extra_headers) {
+  Write(StatusLine(status, reason).append(extra_headers) +
         "Content-Length: 0\r\nConnection: close\r\n\r\n");
   is_rejecting_ = true;
   CloseGracefully();
 }
 
+void Http1ServerConnection::Refuse() {
+  RejectRequest(503, "Service Unavailable", kRefusalHeaders);
+}
+
 void Http1ServerConnection::CloseGracefully() {
   if (closing_ || bev_ == nullptr) return;
   closing_ = true;
@@ -333,7 +358,8 @@
         std::chrono::duration_cast<Milliseconds>(now - phase_start_);
     // The client may not know a shorter limit that came in force meanwhile.
     Milliseconds timeout =
-        std::max(idle_timeout_, server_->limits_.idle_timeout);
+        refuses_ ? server_->limits_.head_timeout
+                 : std::max(idle_timeout_, server_->limits_.idle_timeout);
     // Unread bytes are read in the next loop iteration.
     if (idle_time <= timeout || HasUnreadBytes()) return;
     ++server_->counters_.idle_closed;
@@ -353,7 +379,8 @@
     ++server_->counters_.closed_with_unread;
   }
   Free();
-  if (server_ != nullptr) server_->connections_.erase(this);
+  if (server_ == nullptr || server_->connections_.erase(this) == 0) return;
+  if (refuses_) --server_->refusing_;
 }
 
 void Http1ServerConnection::Detach() {
@@ -477,16 +504,37 @@
 void Http1Server::OnAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int,
                            void* arg) {
   auto* self = static_cast<Http1Server*>(arg);
-  if (self->connections_.size() >= self->limits_.max_connections) {
+  bool refuses = self->connections_.size() - self->refusing_ >=
+                     self->limits_.max_connections &&
+                 !self->ReplaceIdle();
+  if (refuses) {
     ++self->counters_.refused_connections;
-    evutil_closesocket(fd);
-    return;
+    if (self->refusing_ >= kMaxRefusing) {
+      evutil_closesocket(fd);
+      return;
+    }
+    ++self->refusing_;
   }
-  auto connection = std::make_shared<Http1ServerConnection>(self, fd);
+  auto connection = std::make_shared<Http1ServerConnection>(self, fd, refuses);
   self->connections_.emplace(connection.get(), connection);
   connection->Start();
 }
 
+// Connections without a response so far are left alone: their first request may
+// be on its way.
+bool Http1Server::ReplaceIdle() {
+  std::shared_ptr<Http1ServerConnection> oldest;
+  for (auto& [key, connection] : connections_) {
+    bool older =
+        oldest == nullptr || connection->phase_start() < oldest->phase_start();
+    if (older && connection->replaceable()) oldest = connection;
+  }
+  if (oldest == nullptr) return false;
+  ++counters_.replaced_connections;
+  oldest->Replace();
+  return true;
+}
+
 void Http1Server::CloseIdle() {
   std::vector<std::shared_ptr<Http1ServerConnection>> idle;
   for (auto& [key, connection] : connections_) {
@@ -515,9 +563,11 @@
   auto with_unread = counters_.closed_with_unread - logged_.closed_with_unread;
   auto dropped_bytes = counters_.dropped_bytes - logged_.dropped_bytes;
   auto refused = counters_.refused_connections - logged_.refused_connections;
+  auto replaced = counters_.replaced_connections - logged_.replaced_connections;
   logged_ = counters_;
   auto longest_idle = std::exchange(longest_idle_, Milliseconds(0));
-  if (idle_closed + with_unread + dropped_bytes + refused == 0) return;
+  if (idle_closed + with_unread + dropped_bytes + refused + replaced == 0)
+    return;
   PC_INFO(kNet, "event=connections_closed at="
                     << endpoint_.ToString() << " idle=" << idle_closed
                     << " longest_idle_ms=" << longest_idle.count()
--- a/Source/Core/Net/http1_server.h
+++ b/Source/Core/Net/http1_server.h
@@ -82,6 +82,8 @@
   uint64_t closed_with_unread = 0;
   uint64_t dropped_bytes = 0;  ///< Read on closing connections and dropped.
   uint64_t refused_connections = 0;  ///< Beyond `max_connections`.
+  /// Idle connections closed in favour of new ones, at `max_connections`.
+  uint64_t replaced_connections = 0;
 };
 
 /// Accepts connections and passes each complete request to one handler. Use it
@@ -89,6 +91,9 @@
 class Http1Server {
  public:
   using Handler = std::function<void(std::shared_ptr<Http1Exchange>)>;
+  /// Connections beyond `max_connections` that may be open at one time to be
+  /// refused with a response; others are closed without one.
+  static constexpr size_t kMaxRefusing = 32;
   struct Limits {
     uint32_t max_head_bytes = 16 << 10;
     uint64_t max_body_bytes = 4 << 20;
@@ -97,6 +102,8 @@
     /// From a request's first byte to the end of its head.
     Milliseconds head_timeout{3000};
     Milliseconds idle_timeout{15'000};
+    /// A new connection beyond these replaces the one that has been idle for
+    /// longest since its last response, or its request is refused with 503.
     size_t max_connections = 1500;
   };
 
@@ -130,6 +137,7 @@
                        void* arg);
   void Sweep();
   void LogClosed();
+  bool ReplaceIdle();
 
   EventLoop* loop_;
   Limits limits_;
@@ -138,6 +146,7 @@
   std::map<Http1ServerConnection*, std::shared_ptr<Http1ServerConnection>>
       connections_;
   size_t in_flight_ = 0;
+  size_t refusing_ = 0;
   bool draining_ = false;
   Endpoint endpoint_;
   Http1ServerCounters counters_;
--- a/Source/Core/Router/fleet_router_metrics.cc
+++ b/Source/Core/Router/fleet_router_metrics.cc
@@ -163,6 +163,9 @@
        &Http1ServerCounters::dropped_bytes},
       {"connections_refused_total", "Connections of callers beyond the limit",
        &Http1ServerCounters::refused_connections},
+      {"connections_replaced_total",
+       "Idle connections of callers closed in favour of new ones",
+       &Http1ServerCounters::replaced_connections},
   };
   for (const Row& row : kRows) {
     metrics_.AddCounter(
--- a/Source/UnitTests/Net/http1_close_test.cc
+++ b/Source/UnitTests/Net/http1_close_test.cc
@@ -186,5 +186,71 @@
   CHECK(fixture.server.counters().dropped_bytes == 0);
 }
 
+// Guards against connections that are accepted and closed without a response.
+TEST_CASE("a connection beyond the limit replaces an idle one or is refused",
+          "[http1][close]") {
+  Http1Server::Limits limits;
+  limits.max_connections = 2;
+  ServerFixture fixture(205, limits);
+  RawCaller first(fixture.endpoint);
+  fixture.Exchange(&first, "/1");
+  RawCaller second(fixture.endpoint);
+  fixture.Exchange(&second, "/2");
+  SECTION("the one that has been idle for longest is closed") {
+    RawCaller third(fixture.endpoint);
+    fixture.Exchange(&third, "/3");
+    CHECK(third.has_received("/3;"));
+    CHECK(first.ended());
+    CHECK_FALSE(second.ended());
+    CHECK(fixture.server.connections() == 2);
+  }
+  SECTION("none with a request in its socket is closed") {
+    // The third is accepted before the others are read.
+    RawCaller third(fixture.endpoint);
+    fixture.loop.Post([&] {
+      first.Send(RequestText("/hold"));
+      second.Send(RequestText("/4"));
+    });
+    fixture.Exchange(&third, "/3");
+    CHECK(third.has_received("HTTP/1.1 503"));
+    CHECK(third.has_received("Retry-After: 1\r\n"));
+    CHECK(third.has_received("Connection: close\r\n"));
+    RunUntil(&fixture.loop, [&] {
+      return fixture.held != nullptr && second.has_received("/4;");
+    });
+    CHECK_FALSE(first.ended());
+    CHECK(std::ranges::count(fixture.executed, "/3") == 0);
+  }
+  CHECK(fixture.server.counters().dropped_bytes == 0);
+}
+
+TEST_CASE("the connections that are refused at one time are bounded",
+          "[http1][close]") {
+  Http1Server::Limits limits;
+  limits.max_connections = 1;
+  ServerFixture fixture(206, limits);
+  RawCaller busy(fixture.endpoint);
+  busy.Send(RequestText("/hold"));
+  RunUntil(&fixture.loop, [&] { return fixture.held != nullptr; });
+  constexpr size_t kCallers = 200;
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (size_t i = 0; i < kCallers; ++i)
+    callers.push_back(std::make_unique<RawCaller>(fixture.endpoint));
+  // Each caller has either a response to its request or a closed connection.
+  for (auto& it : callers) it->Send(RequestText("/late"));
+  size_t most_open = 0;
+  RunUntil(&fixture.loop, [&] {
+    most_open = std::max(most_open, fixture.server.connections());
+    return std::ranges::all_of(callers, [](auto& it) { return it->ended(); });
+  });
+  CHECK(fixture.server.counters().refused_connections == kCallers);
+  CHECK(std::ranges::any_of(
+      callers, [](auto& it) { return it->has_received("HTTP/1.1 503"); }));
+  CHECK(most_open <= 1 + Http1Server::kMaxRefusing);
+  ServerFixture::Respond(*fixture.held);
+  RunUntil(&fixture.loop, [&] { return busy.has_received("/hold;"); });
+  CHECK(fixture.executed.size() == 1);
+}
+
 }  // namespace
 }  // namespace primrosecove
