--- a/Source/Core/Net/http1_server.h
+++ b/Source/Core/Net/http1_server.h
@@ -75,11 +75,25 @@
   std::function<void()> on_disconnect_;
 };
 
+/// Counts why an Http1Server closed connections.
+struct Http1ServerCounters {
+  uint64_t idle_closed = 0;  ///< Closed because they were idle.
+  /// Closed while bytes of the client were unread or had been dropped.
+  uint64_t closed_with_unread = 0;
+  uint64_t dropped_bytes = 0;  ///< Read on closing connections and dropped.
+  uint64_t refused_connections = 0;  ///< Beyond `max_connections`.
+  /// Idle connections closed in favour of new ones, at `max_connections`.
+  uint64_t replaced_connections = 0;
+};
+
 /// Accepts connections and passes each complete request to one handler. Use it
 /// on its loop's thread only.
 class Http1Server {
  public:
   using Handler = std::function<void(std::shared_ptr<Http1Exchange>)>;
+  /// Connections beyond `max_connections` that may be open at one time to be
+  /// refused with a response; others are closed without one.
+  static constexpr size_t kMaxRefusing = 32;
   struct Limits {
     uint32_t max_head_bytes = 16 << 10;
     uint64_t max_body_bytes = 4 << 20;
@@ -88,6 +102,8 @@
     /// From a request's first byte to the end of its head.
     Milliseconds head_timeout{3000};
     Milliseconds idle_timeout{15'000};
+    /// A new connection beyond these replaces the one that has been idle for
+    /// longest since its last response, or its request is refused with 503.
     size_t max_connections = 1500;
   };
 
@@ -95,17 +111,21 @@
   ~Http1Server();
   /// Binds and listens; fails with kUnavailable when the address is in use.
   Result<void> Listen(const Endpoint& endpoint);
-  /// Sets the limits for requests that begin from now on.
+  /// Sets the limits for connections and requests that begin from now on. A
+  /// connection that is idle keeps the longer idle timeout until its next use.
   void SetLimits(const Limits& limits) { limits_ = limits; }
   const Limits& limits() const { return limits_; }
-  /// From now on every response has the header field "Connection: close";
-  /// connections are still accepted.
+  /// From now on the last response to the requests that have been read on a
+  /// connection has the header field "Connection: close"; connections are still
+  /// accepted.
   void BeginDrain() { draining_ = true; }
-  /// Closes the connections that have no request in progress.
+  /// Closes the connections that have no request in progress and none in their
+  /// socket.
   void CloseIdle();
   /// Returns the number of requests that the handler has not completed.
   size_t in_flight() const { return in_flight_; }
   size_t connections() const { return connections_.size(); }
+  const Http1ServerCounters& counters() const { return counters_; }
   /// Returns the bytes of responses that are not yet written to the clients'
   /// sockets.
   size_t unsent_bytes() const;
@@ -116,6 +136,8 @@
   static void OnAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int,
                        void* arg);
   void Sweep();
+  void LogClosed();
+  bool ReplaceIdle();
 
   EventLoop* loop_;
   Limits limits_;
@@ -124,8 +146,14 @@
   std::map<Http1ServerConnection*, std::shared_ptr<Http1ServerConnection>>
       connections_;
   size_t in_flight_ = 0;
+  size_t refusing_ = 0;
   bool draining_ = false;
+  Endpoint endpoint_;
+  Http1ServerCounters counters_;
+  Http1ServerCounters logged_;
+  Milliseconds longest_idle_{0};  ///< Of those closed since the last line.
   Timer sweep_timer_;
+  Timer log_timer_;
 };
 
 }  // namespace primrosecove
