Fix an endless loop and a use after free in the emulator

Some reports at loads of 1.1 and more did not end. A caller that gets events looks again at the time of its last event plus the gap; the test subtracted the two times, and rounding could leave a rest below the gap, so that the check was scheduled for the same time again and again (seen in a stack of the running process: Abandon in EventQueue::RunUntil, at load 1.1, 16 routers, "abandon"). It compares with the scheduled time now.

EndAttempt took a reference into the list from which it removes the attempt; it takes a copy now.

--- a/Source/Emulator/fleet_model.cc
+++ b/Source/Emulator/fleet_model.cc
@@ -686,7 +686,7 @@
   Send(call, other);
 }
 
-void FleetModel::EndAttempt(Call* call, const std::shared_ptr<Attempt>& attempt,
+void FleetModel::EndAttempt(Call* call, std::shared_ptr<Attempt> attempt,
                             bool ok, bool cancel) {
   if (attempt->ended) return;
   attempt->ended = true;
@@ -768,7 +768,7 @@
        kTargetsPerAbandonGap * static_cast<double>(it.target.count()),
        kGapsPerAbandonGap * static_cast<double>(it.max_event_gap.count())});
   if (gets_events && call->outcome.arrival.abandons_after_ms <= 0 &&
-      queue_.now() - call->last_event_at < gap) {
+      queue_.now() < call->last_event_at + gap) {
     queue_.ScheduleAt(call->last_event_at + gap,
                       [this, call] { Abandon(call); });
     return;
--- a/Source/Emulator/fleet_model.h
+++ b/Source/Emulator/fleet_model.h
@@ -111,7 +111,7 @@
   void OnAttemptRefused(const std::shared_ptr<Call>& call);
   void SetExactLoad(FleetUpstream* upstream) const;
   Engine* FindEngine(const std::string& id) const;
-  void EndAttempt(Call* call, const std::shared_ptr<Attempt>& attempt, bool ok,
+  void EndAttempt(Call* call, std::shared_ptr<Attempt> attempt, bool ok,
                   bool cancel);
   void HandleRefusal(const std::shared_ptr<Call>& call,
                      Milliseconds retry_after);
