Date the evidence of a sound execution by the beginning of its response

Cause: a sound execution voided the crashes of its parts up to one second after its response began. A part crashes its upstream when the response begins, so such an execution shows nothing about later ones. The class: counter-evidence that is dated by when it became known, not by the event that it is evidence of.

The evidence is now dated by the beginning of the response.

Two new tests failed before: "a sound execution voids the crashes before its beginning" (kClear for kBlocked) and "a part that was sound before a burst of crashes is tested soon" (refused for tested). "[parts]" passes.

--- a/Source/Core/Router/crash_correlator.cc
+++ b/Source/Core/Router/crash_correlator.cc
@@ -142,12 +142,12 @@
 void CrashCorrelator::OnSoundExecution(std::span<const uint64_t> prompt_parts,
                                        MonotonicTime response_began_at,
                                        MonotonicTime now) {
-  MonotonicTime sound_at =
-      std::min(now, response_began_at + PromptPartScreen::kSoundExecutionTime);
+  // A part crashes its upstream when the response begins. Later time of this
+  // execution shows nothing about executions that began meanwhile.
   for (uint64_t part : prompt_parts) {
-    prompt_part_screen_.RecordSound(part, sound_at);
+    prompt_part_screen_.RecordSound(part, response_began_at);
     if (Classify(part, now) != SuspectVerdict::kClear)
-      ClearPromptPart(part, sound_at, now);
+      ClearPromptPart(part, response_began_at, now);
   }
 }
 
--- a/Source/Core/Router/crash_correlator.h
+++ b/Source/Core/Router/crash_correlator.h
@@ -70,7 +70,7 @@
   void OnCompleted(uint64_t request, MonotonicTime now);
   /// Records that an execution with these parts of a prompt is sound: it has
   /// ended, or has been responding for kSoundExecutionTime since
-  /// `response_began_at`.
+  /// `response_began_at`. It voids the parts' crashes until then.
   void OnSoundExecution(std::span<const uint64_t> prompt_parts,
                         MonotonicTime response_began_at, MonotonicTime now);
   /// Returns reports of the connections lost since the last call whose
--- a/Source/Core/Router/prompt_part_screen.cc
+++ b/Source/Core/Router/prompt_part_screen.cc
@@ -14,6 +14,9 @@
 constexpr int kTestDelayFactor = 5;
 constexpr Milliseconds kMaxTestDelay{300'000};
 static_assert(kMaxTestDelay.count() < SuspectTable::kLifetimeMs);
+// A part that was sound lately may have been running beside the cause of many
+// crashes: its test is not put off by their number.
+constexpr size_t kMaxCountedCrashesIfSound = SuspectTable::kCrashesToBlock + 1;
 // The tests of different routers are spread over this share of the delay, for
 // each router.
 constexpr double kSpreadPerRouter = 0.25;
@@ -63,8 +66,11 @@
 
 Milliseconds PromptPartScreen::TestDelay(uint64_t part, size_t crashes) const {
   Milliseconds delay = kFirstTestDelay;
+  size_t counted = LastSoundAt(part)
+                       ? std::min(crashes, kMaxCountedCrashesIfSound)
+                       : crashes;
   for (size_t n = SuspectTable::kCrashesToBlock;
-       n < crashes && delay < kMaxTestDelay; ++n) {
+       n < counted && delay < kMaxTestDelay; ++n) {
     delay *= kTestDelayFactor;
   }
   delay = std::min(delay, kMaxTestDelay);
--- a/Source/UnitTests/Router/crash_correlator_test.cc
+++ b/Source/UnitTests/Router/crash_correlator_test.cc
@@ -2,7 +2,9 @@
 // observations and those of others.
 #include "Core/Router/crash_correlator.h"
 
+#include <array>
 #include <catch2/catch.hpp>
+#include <string>
 
 namespace primrosecove {
 namespace {
@@ -256,5 +258,75 @@
   }
 }
 
+constexpr uint64_t kPart = 42;
+
+// Crashes this many upstreams at kStart while the part begins to respond.
+void CrashUpstreams(CrashCorrelator& correlator, int count) {
+  for (int i = 0; i < count; ++i) {
+    std::string id = "u" + std::to_string(i);
+    correlator.OnConnectionLost({.request = static_cast<uint64_t>(100 + i),
+                                 .upstream_id = id,
+                                 .sent_at = kStart - Milliseconds(100),
+                                 .prompt_parts = {kPart},
+                                 .responding_time = Milliseconds(50)},
+                                kStart);
+    correlator.OnUpstreamCrash({id, 1}, kStart);
+  }
+}
+
+// Guards against a part that turns bad and goes on crashing upstreams because
+// executions from before void the crashes.
+TEST_CASE("a sound execution voids the crashes before its beginning",
+          "[parts]") {
+  struct Row {
+    const char* name;
+    int64_t began_at;
+    SuspectVerdict verdict;
+  };
+  const Row rows[] = {
+      {"began before the crashes", -500, SuspectVerdict::kBlocked},
+      {"began at the crashes", 0, SuspectVerdict::kClear},
+      {"began after the crashes", 500, SuspectVerdict::kClear},
+  };
+  for (const Row& row : rows) {
+    for (bool is_known_before : {false, true}) {
+      if (is_known_before && row.began_at > 0) continue;
+      CAPTURE(row.name, is_known_before);
+      CrashCorrelator correlator;
+      MonotonicTime now = kStart + Milliseconds(1500);
+      auto execute = [&] {
+        correlator.OnSoundExecution(std::array{kPart},
+                                    kStart + Milliseconds(row.began_at), now);
+      };
+      if (is_known_before) execute();
+      CrashUpstreams(correlator, SuspectTable::kCrashesToBlock);
+      if (!is_known_before) execute();
+      CHECK(correlator.Classify(kPart, now) == row.verdict);
+    }
+  }
+}
+
+// Guards against a popular part that stays blocked for minutes because it was
+// running at many crashes of one burst.
+TEST_CASE("a part that was sound before a burst of crashes is tested soon",
+          "[parts]") {
+  for (bool was_sound : {false, true}) {
+    CAPTURE(was_sound);
+    CrashCorrelator correlator;
+    MonotonicTime began_at = kStart - Milliseconds(2000);
+    if (was_sound)
+      correlator.OnSoundExecution(std::array{kPart}, began_at, kStart);
+    CrashUpstreams(correlator, 8);
+    auto check = [&](int64_t ms) {
+      return correlator
+          .CheckPromptParts(std::array{kPart}, kStart + Milliseconds(ms))
+          .action;
+    };
+    CHECK(check(4000) == PromptPartAction::kRefuse);
+    CHECK(check(16'000) ==
+          (was_sound ? PromptPartAction::kTest : PromptPartAction::kRefuse));
+  }
+}
+
 }  // namespace
 }  // namespace primrosecove
