--- a/Source/Core/Net/http1_server.cc
+++ b/Source/Core/Net/http1_server.cc
@@ -49,7 +49,8 @@
 // Returns whether the peer has closed its side, even if bytes are unread.
 bool IsClosedByPeer(evutil_socket_t fd) {
   pollfd it{.fd = fd, .events = POLLRDHUP, .revents = 0};
-  return poll(&it, 1, 0) == 1;
+  return poll(&it, 1, 0) == 1 &&
+         (it.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 }  // namespace
