Count silence and its excuses for engines alone, and a process's end by refusals

Before, a busy plain upstream got no new request while another one failed. - The router's own stall moved the time of the last data, so that an execution seemed sound, and not the time of sending, so that requests seemed overdue. An attempt now keeps both times, and how long this process stood still. - Requests that may run once, and requests whose attempts are used up, are not cancelled at a silent engine. - An agent counts only consecutive refused connections as the end of its engine; other failed polls, an unusable response for one, say nothing about it. It sends no status of which only a part is new. - The loss of an attempt at a crashed upstream is recorded when the crash becomes known, not when the attempt ends.

--- a/Source/Core/Agent/fleet_agent.cc
+++ b/Source/Core/Agent/fleet_agent.cc
@@ -25,8 +25,8 @@
 // A poll within the host takes a few milliseconds, or some tens of them if the
 // host is short of processor time.
 constexpr Milliseconds kMaxPollTime{300};
-// Polls whose connection the engine refuses or ends, since the last response,
-// after which it is considered unreachable.
+// Consecutive polls whose connection the engine refuses, after which it is
+// considered unreachable.
 constexpr int kMaxMissedPolls = 2;
 constexpr Http1Server::Limits kPeerLimits = {.max_body_bytes = 64 << 10,
                                              .max_connections = 400};
@@ -179,8 +179,10 @@
 
 void FleetAgent::PollEngine() {
   if (poll_in_flight_) {
-    if (status_.responding && EventLoop::Now() - poll_sent_at_ > kMaxPollTime)
-      SetResponding(false);
+    if (status_.responding && EventLoop::Now() - poll_sent_at_ > kMaxPollTime) {
+      RecordResponding(false);
+      SendStatus();
+    }
     return;
   }
   poll_in_flight_ = true;
@@ -191,11 +193,10 @@
   });
 }
 
-void FleetAgent::SetResponding(bool responding) {
+void FleetAgent::RecordResponding(bool responding) {
   if (status_.responding == responding) return;
   status_.responding = responding;
   PC_INFO(kPlatform, "event=engine_responding responding=" << responding);
-  SendStatus();
 }
 
 void FleetAgent::OnEngineStatus(Result<EngineStatus> status) {
@@ -204,7 +205,7 @@
     missed_polls_ = 0;
     const EngineStatus& it = status.value();
     status_.reachable = true;
-    SetResponding(true);
+    RecordResponding(true);
     status_.loading = it.loading;
     status_.served_version = 0;
     for (const LoadedWeights& weights : it.weights) {
@@ -216,10 +217,11 @@
     status_.slowdown_percent = static_cast<uint32_t>(it.slowdown * kPercent);
     status_.start_time_ms = it.start_time_ms;
     stager_->OnEngineStatus(it);
-  } else if (status.error().code == ErrorCode::kTimeout) {
-    // A silent engine may go on. Only a refused or ended connection shows that
-    // its process has ended.
-    SetResponding(false);
+  } else if (status.error().code != ErrorCode::kUnavailable) {
+    // A silent engine may go on. Only refused connections show that its process
+    // has ended.
+    missed_polls_ = 0;
+    if (status.error().code == ErrorCode::kTimeout) RecordResponding(false);
   } else if (++missed_polls_ >= kMaxMissedPolls) {
     status_.reachable = false;
     status_.served_version = 0;
--- a/Source/Core/Agent/fleet_agent.h
+++ b/Source/Core/Agent/fleet_agent.h
@@ -32,7 +32,7 @@
   // Sends a datagram to all routers but the one that it came from.
   void ForwardToRouters(std::string_view datagram, const Endpoint& sender);
   void PollEngine();
-  void SetResponding(bool responding);
+  void RecordResponding(bool responding);
   void OnEngineStatus(Result<EngineStatus> status);
   void SendStatus();
 
--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -18,8 +18,7 @@
 // for probes. A single failure may be caused by the request.
 constexpr int kFailuresToEject = 3;
 constexpr Milliseconds kEjectionTime{1500};
-// An engine with running requests sends events several times a second, and a
-// plain service responds within a few tenths of a second.
+// An engine with running requests sends events several times a second.
 constexpr Milliseconds kMaxQuietTime{400};
 // Registrations without a start time are in the order in which they are seen,
 // unless one read of the store may have returned both.
@@ -174,6 +173,9 @@
     }
     upstream.router_count =
         std::max<int>(static_cast<int>(status.active_routers), 1);
+    bool responds_again =
+        upstream.status && !upstream.status->responding && status.responding;
+    if (responds_again) EndSilentFailures(&upstream, now);
     upstream.status = status;
     UpdateStatesLeaving(&upstream);
     upstream.reload_at.reset();
@@ -213,6 +215,11 @@
   if (upstream == nullptr) return;
   upstream->last_progress = now;
   upstream->refuses_connections = false;
+  EndSilentFailures(upstream, now);
+}
+
+void UpstreamRegistry::EndSilentFailures(FleetUpstream* upstream,
+                                         MonotonicTime now) {
   if (!std::exchange(upstream->failed_by_silence, false)) return;
   upstream->consecutive_failures = 0;
   upstream->ejected_until = std::min(upstream->ejected_until, now);
@@ -332,7 +339,9 @@
 
 void UpstreamRegistry::UpdateSilence(MonotonicTime now) {
   for (auto& [id, upstream] : upstreams_) {
-    bool by_requests = upstream.local_in_flight > 0 &&
+    // Requests of a plain service may take long without data.
+    bool is_engine = upstream.status || !upstream.record.weights.empty();
+    bool by_requests = is_engine && upstream.local_in_flight > 0 &&
                        now - upstream.last_progress > kMaxQuietTime;
     bool by_agent = upstream.status && !upstream.status->responding &&
                     now - upstream.status_received_at < kStatusLifetime;
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -48,8 +48,8 @@
   /// The time at which the upstream last sent data to this router, or got a
   /// request while this router had no other request in flight there.
   MonotonicTime last_progress{-1'000'000};
-  /// Since when it has been silent, by its requests or its agent. Silence is no
-  /// evidence that its process has ended.
+  /// Since when its engine has been silent, by its requests or its agent.
+  /// Silence is no evidence that its process has ended.
   std::optional<MonotonicTime> silent_since;
 
   /// Returns whether it gets no new requests because its process is leaving,
@@ -61,9 +61,9 @@
   /// Estimates the number of requests at it: the last reported load, corrected
   /// by the requests of this router that started and ended since.
   int ExpectedLoad(MonotonicTime now) const;
-  /// Returns whether it can start a request immediately, by its expected load.
-  bool HasFreeSlots(MonotonicTime now) const {
-    return ExpectedLoad(now) < record.slots;
+  /// Returns whether at least half of its slots are free, by its expected load.
+  bool IsHalfIdle(MonotonicTime now) const {
+    return 2 * ExpectedLoad(now) <= record.slots;
   }
 };
 
@@ -146,7 +146,7 @@
   uint64_t silences() const { return silences_; }
 
   /// Returns the upstreams of a service that may get new requests at `now`. If
-  /// all of them are silent or fail, it returns those.
+  /// all of them fail, it returns those; if all are silent, the silent ones.
   std::vector<FleetUpstream*> Usable(const std::string& service,
                                      MonotonicTime now);
   FleetUpstream* Find(const std::string& id);
@@ -158,6 +158,8 @@
 
  private:
   void RecordCrash(const FleetUpstream& upstream, CrashEvidence evidence);
+  // Ends the ejection of an upstream that was only silent.
+  static void EndSilentFailures(FleetUpstream* upstream, MonotonicTime now);
   // Counts a failure; enough consecutive ones eject the upstream for a while.
   static void CountFailure(FleetUpstream* upstream, MonotonicTime now);
   // Determines whether the upstream's present process has stated that it is
--- a/Source/Core/Net/http1_calls.cc
+++ b/Source/Core/Net/http1_calls.cc
@@ -29,13 +29,13 @@
       response.body = std::move(result.body);
       return callback(std::move(response));
     }
-    bool timed_out = result.end == CallEnd::kTimeout ||
-                     (result.end == CallEnd::kNotSent && !result.refused);
-    if (timed_out)
-      return callback(Fail(ErrorCode::kTimeout, "no response in time"));
-    callback(Fail(ErrorCode::kUnavailable, result.refused
-                                               ? "connection refused"
-                                               : "incomplete response"));
+    if (result.refused)
+      return callback(Fail(ErrorCode::kUnavailable, "connection refused"));
+    bool timed_out =
+        result.end == CallEnd::kTimeout || result.end == CallEnd::kNotSent;
+    callback(timed_out
+                 ? Fail(ErrorCode::kTimeout, "no response in time")
+                 : Fail(ErrorCode::kCorrupt, "incomplete or invalid response"));
   };
   calls_[number] = client_->Send(endpoint, request, options, std::move(events));
 }
--- a/Source/Core/Net/http1_calls.h
+++ b/Source/Core/Net/http1_calls.h
@@ -18,10 +18,10 @@
   /// Precondition: `client` outlives this object.
   explicit Http1Calls(Http1Client* client) : client_(client) {}
   /// Sends `request` and passes the complete response to `callback`. Fails with
-  /// kTimeout when the peer did not accept the connection or complete its
-  /// response in time, and with kUnavailable when it refused or ended the
-  /// connection or sent an invalid response. Either way it may have received
-  /// the request.
+  /// kUnavailable when no process listens at `endpoint`, with kTimeout when the
+  /// peer did not accept the connection or complete its response in time, and
+  /// with kCorrupt when it sent an incomplete or invalid response. In the last
+  /// two cases it may have received the request.
   void Send(const Endpoint& endpoint, const HttpRequest& request,
             Milliseconds response_timeout, Callback callback);
   size_t size() const { return calls_.size(); }
--- a/Source/Core/Net/http1_server.cc
+++ b/Source/Core/Net/http1_server.cc
@@ -313,6 +313,7 @@
 
 void Http1ServerConnection::HandleDrained() {
   if (!closing_ || bev_ == nullptr || pending_bytes() > 0) return;
+  phase_start_ = EventLoop::Now();
   shutdown(bufferevent_getfd(bev_), SHUT_WR);
 }
 
@@ -344,7 +345,10 @@
 void Http1ServerConnection::CheckTimeouts(SteadyTime now) {
   if (bev_ == nullptr) return;
   if (closing_) {
-    if (now - phase_start_ > kLingerTimeout ||
+    // A slow client needs longer to read the response.
+    Milliseconds timeout =
+        pending_bytes() > 0 ? message_limits_.request_timeout : kLingerTimeout;
+    if (now - phase_start_ > timeout ||
         IsClosedByPeer(bufferevent_getfd(bev_))) {
       Remove();
     }
@@ -368,6 +372,8 @@
     CloseIdle();
     return;
   }
+  // What waits in the socket is read in the next loop iteration.
+  if (HasUnreadBytes()) return;
   Milliseconds timeout = head_received_ ? message_limits_.request_timeout
                                         : message_limits_.head_timeout;
   if (now - message_start_ > timeout) RejectRequest(408, "Request Timeout");
@@ -573,8 +579,9 @@
                     << endpoint_.ToString() << " idle=" << idle_closed
                     << " longest_idle_ms=" << longest_idle.count()
                     << " idle_timeout_ms=" << limits_.idle_timeout.count()
-                    << " with_unread=" << with_unread << " dropped_bytes="
-                    << dropped_bytes << " refused=" << refused
+                    << " with_unread=" << with_unread
+                    << " dropped_bytes=" << dropped_bytes
+                    << " refused=" << refused << " replaced=" << replaced
                     << " open=" << connections_.size());
 }
 
--- a/Source/Core/Router/fleet_attempt.h
+++ b/Source/Core/Router/fleet_attempt.h
@@ -2,6 +2,7 @@
 // response.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -13,6 +14,7 @@
 
 namespace primrosecove {
 
+/// Not thread safe; its request owns it.
 struct FleetAttempt {
   uint64_t number = 0;  ///< Distinguishes the attempts of one request.
   std::unique_ptr<Http1Call> call;
@@ -24,6 +26,11 @@
   bool sent_as_suspect = false;     ///< No other suspect was there.
   MonotonicTime sent_at{0};
   MonotonicTime last_data_at{0};  ///< Or sent_at.
+  /// How long this process itself stood still, since the attempt was sent and
+  /// since its last data.
+  Milliseconds own_stall{0};
+  Milliseconds own_stall_since_data{0};
+  bool is_loss_recorded = false;
   /// When a successful response began.
   std::optional<MonotonicTime> response_began_at;
   bool streaming = false;     ///< The response is an event stream.
@@ -32,6 +39,18 @@
   std::optional<uint64_t> response_weights;
   EventFramer framer;
 
+  void RecordData(MonotonicTime now) {
+    last_data_at = now;
+    own_stall_since_data = Milliseconds(0);
+  }
+  /// Returns how long it has been in flight, without stalls of this process.
+  Milliseconds Age(MonotonicTime now) const {
+    return now - sent_at - own_stall;
+  }
+  /// Returns how long no data has arrived, without stalls of this process.
+  Milliseconds QuietTime(MonotonicTime now) const {
+    return now - last_data_at - own_stall_since_data;
+  }
   /// For how long a successful response has been arriving, or nothing if it has
   /// not begun.
   std::optional<Milliseconds> RespondingTime() const {
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -14,9 +14,6 @@
 // A connection to a live upstream opens within a few milliseconds; TCP
 // retransmits a lost SYN only after a second.
 constexpr Milliseconds kConnectTimeout{300};
-// Failed connections after which a request is given up. Nothing was sent on
-// them, so they don't count as attempts.
-constexpr int kMaxFailedConnections = 3;
 // A response that is not a stream, and one event of a stream, are kept in
 // memory until they are complete.
 constexpr size_t kMaxResponseBytes = 4 << 20;
@@ -264,7 +261,7 @@
       platform::DecodeResponseFields(head.status, head.headers);
   MonotonicTime now = state_->Now();
   const std::string& id = attempt->upstream_id;
-  attempt->last_data_at = now;
+  attempt->RecordData(now);
   state_->registry.OnProgress(id, now);
   if (const FleetUpstream* upstream = state_->registry.Find(id))
     state_->rate_limits.OnResponse(*upstream, response, attempt->sent_at, now);
@@ -288,7 +285,7 @@
 }
 
 void FleetRequest::OnData(FleetAttempt* attempt, std::string_view bytes) {
-  attempt->last_data_at = state_->Now();
+  attempt->RecordData(state_->Now());
   state_->registry.OnProgress(attempt->upstream_id, attempt->last_data_at);
   if (!attempt->streaming) {
     if (bytes.size() > kMaxResponseBytes - attempt->response_body.size())
@@ -369,10 +366,7 @@
               << " leaving=" << response.is_leaving
               << " other_attempts=" << in_flight_.size() - 1);
   if (response.rest) ++state_->counters.rests_asked;
-  state_->registry.OnRefused(attempt->upstream_id, state_->Now());
-  ReleaseSuspect(attempt);
-  attempt->upstream_id.clear();
-  RemoveAttempt(*attempt, UpstreamVerdict::kUnknown);
+  RemoveAttempt(*attempt, UpstreamVerdict::kRefused);
   if (execution_state_ == ExecutionState::kNotSent)
     execution_state_ = ExecutionState::kRefused;
   ContinueOrFail("upstream refused");
@@ -416,6 +410,7 @@
 
 void FleetRequest::RecordCompletion(const FleetAttempt& attempt, int status) {
   MonotonicTime now = state_->Now();
+  last_upstream_ = attempt.upstream_id;
   if (is_suspect_) state_->crash_correlator.OnCompleted(Fingerprint(), now);
   if (IsSuccess(status)) RecordSoundExecution(attempt);
   state_->RecordServiceTime(service_->name, now - attempt.sent_at);
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -35,15 +35,18 @@
   /// Does not count `time` as silence of the upstreams, because this process
   /// has not read from its connections meanwhile.
   void ExcuseSilence(Milliseconds time);
+  /// Records the loss of the attempts at a crashed upstream that are silent.
+  /// They go on, because the upstream may only have lost its registration.
+  void OnUpstreamCrash(const std::string& upstream_id);
   bool ended() const { return ended_; }
 
  private:
   // Whether any attempt may have executed the request.
   enum class ExecutionState { kNotSent, kRefused, kMayHaveExecuted };
   // What the end of an attempt shows about its upstream.
-  enum class UpstreamVerdict { kSound, kFailed, kSilent, kUnknown };
+  enum class UpstreamVerdict { kSound, kFailed, kSilent, kRefused, kUnknown };
   enum class RetryUrgency {
-    kIfSlotsAreFree,  // The upstream is silent; it may well continue.
+    kIfHalfIdle,  // The upstream is silent; it may well continue.
     kUrgent,
   };
   struct RetryReason {
@@ -54,6 +57,9 @@
   // Retry-After of refusals where another router may accept the request
   // immediately, such as those for a stale configuration.
   static constexpr Milliseconds kRetryElsewhereDelay{200};
+  // Failed connections after which a request is given up. Nothing was sent on
+  // them, so they don't count as attempts.
+  static constexpr int kMaxFailedConnections = 3;
 
   bool ResolveRoute();
   bool Authenticate();
@@ -70,8 +76,8 @@
   void EndPromptPartTest();
   // The first parts of the prompt.
   std::string PromptPartsForLog() const;
-  void RecordConnectionLoss(const FleetAttempt& attempt);
-  void RecordLossIfSilent(const FleetAttempt& attempt);
+  void RecordConnectionLoss(FleetAttempt* attempt);
+  void RecordLossIfSilent(FleetAttempt* attempt);
   Placement ChoosePlacement(MonotonicTime now);
   // Mean service time of the request's service, measured or assumed.
   Milliseconds MeanServiceTime() const;
@@ -116,7 +122,8 @@
                                  MonotonicTime now) const;
   bool IsQueuedOnExpiringWeights(const FleetAttempt& attempt,
                                  MonotonicTime now) const;
-  void CancelAttempt(const FleetAttempt& attempt, const char* why);
+  // Cancels an attempt and continues the request without it.
+  void AbandonAttempt(FleetAttempt* attempt, const char* why);
   // Cancels all attempts.
   void CancelAttempts(UpstreamVerdict verdict);
   void HandleTimeout();
--- a/Source/Core/Router/fleet_request_failure.cc
+++ b/Source/Core/Router/fleet_request_failure.cc
@@ -48,25 +48,27 @@
                        << " upstream=" << attempt->upstream_id
                        << " events=" << event_count_ << " why=\"" << why << "\""
                        << " other_attempts=" << in_flight_.size() - 1);
-  RecordConnectionLoss(*attempt);
+  RecordConnectionLoss(attempt);
   RemoveAttempt(*attempt, UpstreamVerdict::kFailed);
   execution_state_ = ExecutionState::kMayHaveExecuted;
   ContinueOrFail(why);
 }
 
-void FleetRequest::RecordConnectionLoss(const FleetAttempt& attempt) {
+void FleetRequest::RecordConnectionLoss(FleetAttempt* attempt) {
+  if (std::exchange(attempt->is_loss_recorded, true)) return;
   MonotonicTime now = state_->Now();
-  auto responding_time = attempt.RespondingTime();
+  auto responding_time = attempt->RespondingTime();
   if (!responding_time) ++state_->counters.losses_before_response;
   PC_INFO(kRouter, "event=attempt_lost id="
                        << fields_.request_id << " request=" << Fingerprint()
-                       << " upstream=" << attempt.upstream_id << " sent_ago_ms="
-                       << (now - attempt.sent_at).count() << " responding_ms="
+                       << " upstream=" << attempt->upstream_id
+                       << " sent_ago_ms=" << (now - attempt->sent_at).count()
+                       << " responding_ms="
                        << (responding_time ? responding_time->count() : -1)
                        << " parts=" << PromptPartsForLog());
   state_->crash_correlator.OnConnectionLost(
-      {Fingerprint(), attempt.upstream_id, attempt.sent_as_suspect,
-       attempt.sent_at, prompt_part_fingerprints_, responding_time},
+      {Fingerprint(), attempt->upstream_id, attempt->sent_as_suspect,
+       attempt->sent_at, prompt_part_fingerprints_, responding_time},
       now);
   is_suspect_ =
       is_suspect_ || state_->crash_correlator.Classify(Fingerprint(), now) !=
@@ -76,24 +78,27 @@
 // An attempt that this router ends counts as lost if its upstream has crashed.
 // The upstream's silence on all connections distinguishes this from an attempt
 // that was merely slow.
-void FleetRequest::RecordLossIfSilent(const FleetAttempt& attempt) {
-  const FleetUpstream* upstream = state_->registry.Find(attempt.upstream_id);
+void FleetRequest::RecordLossIfSilent(FleetAttempt* attempt) {
+  const FleetUpstream* upstream = state_->registry.Find(attempt->upstream_id);
   MonotonicTime last_sign =
-      upstream == nullptr ? attempt.last_data_at
-                          : std::max(upstream->last_progress, attempt.sent_at);
+      upstream == nullptr ? attempt->last_data_at
+                          : std::max(upstream->last_progress, attempt->sent_at);
   if (state_->Now() - last_sign > kUnreachableSilenceTimeout)
     RecordConnectionLoss(attempt);
 }
 
 std::optional<Placement> FleetRequest::TryPlaceRetry(RetryUrgency urgency) {
-  if (attempts_ >= route_->max_attempts) return std::nullopt;
+  if (attempts_ >= route_->max_attempts ||
+      failed_connections_ >= kMaxFailedConnections) {
+    return std::nullopt;
+  }
   if (MayHaveExecuted() && !route_->IsRetryable()) return std::nullopt;
   if (TimeLeft() <= Milliseconds(0) || IsBlocked()) return std::nullopt;
   MonotonicTime now = state_->Now();
   Placement placement = ChoosePlacement(now);
   if (placement.upstream == nullptr) return std::nullopt;
-  if (urgency == RetryUrgency::kIfSlotsAreFree &&
-      (!placement.upstream->HasFreeSlots(now) ||
+  if (urgency == RetryUrgency::kIfHalfIdle &&
+      (!placement.upstream->IsHalfIdle(now) ||
        state_->registry.SilentShare(service_->name) > kMaxSilentShare)) {
     return std::nullopt;
   }
@@ -126,7 +131,6 @@
   std::shared_ptr<FleetAttempt> removed = std::move(*it);
   in_flight_.erase(it);
   removed->call.reset();
-  if (removed->upstream_id.empty()) return;
   ReleaseSuspect(removed.get());
   UpstreamRegistry& registry = state_->registry;
   MonotonicTime now = state_->Now();
@@ -137,25 +141,27 @@
       return registry.OnEnded(removed->upstream_id, false, now);
     case UpstreamVerdict::kSilent:
       return registry.OnEndedSilent(removed->upstream_id, now);
+    case UpstreamVerdict::kRefused:
+      return registry.OnRefused(removed->upstream_id, now);
     case UpstreamVerdict::kUnknown:
       return registry.OnCancelled(removed->upstream_id);
   }
 }
 
 void FleetRequest::KeepOnly(const FleetAttempt& attempt) {
+  last_upstream_ = attempt.upstream_id;
   if (in_flight_.size() < 2) return;
   auto others = in_flight_;
   for (const auto& it : others) {
     if (it.get() == &attempt) continue;
     const FleetUpstream* upstream = state_->registry.Find(it->upstream_id);
     bool is_silent = upstream == nullptr || upstream->silent_since.has_value();
-    PC_INFO(kRouter,
-            "event=attempt_superseded id="
-                << fields_.request_id << " upstream=" << it->upstream_id
-                << " by=" << attempt.upstream_id
-                << " quiet_ms=" << (state_->Now() - it->last_data_at).count()
-                << " upstream_silent=" << is_silent);
-    RecordLossIfSilent(*it);
+    PC_INFO(kRouter, "event=attempt_superseded id="
+                         << fields_.request_id << " upstream="
+                         << it->upstream_id << " by=" << attempt.upstream_id
+                         << " quiet_ms=" << it->QuietTime(state_->Now()).count()
+                         << " upstream_silent=" << is_silent);
+    RecordLossIfSilent(it.get());
     RemoveAttempt(
         *it, is_silent ? UpstreamVerdict::kSilent : UpstreamVerdict::kUnknown);
     execution_state_ = ExecutionState::kMayHaveExecuted;
@@ -167,7 +173,7 @@
   const FleetUpstream* upstream = state_->registry.Find(attempt.upstream_id);
   if (upstream == nullptr) {
     // An upstream that is no longer registered still completes its requests.
-    if (now - attempt.last_data_at <= kUnregisteredSilenceTimeout)
+    if (attempt.QuietTime(now) <= kUnregisteredSilenceTimeout)
       return std::nullopt;
     return RetryReason{"upstream is unregistered and silent",
                        RetryUrgency::kUrgent};
@@ -188,7 +194,7 @@
     if (quiet > kLongSilence)
       return RetryReason{"upstream is silent for long", RetryUrgency::kUrgent};
     if (quiet > kMinSilence)
-      return RetryReason{"upstream is silent", RetryUrgency::kIfSlotsAreFree};
+      return RetryReason{"upstream is silent", RetryUrgency::kIfHalfIdle};
     return std::nullopt;
   }
   if (route_->kind != RequestKind::kIdempotent) return std::nullopt;
@@ -196,7 +202,7 @@
   auto overdue_time =
       std::max(kMinOverdueTime,
                Milliseconds(static_cast<int64_t>(kOverdueFactor * mean)));
-  if (now - attempt.sent_at <= overdue_time) return std::nullopt;
+  if (attempt.Age(now) <= overdue_time) return std::nullopt;
   return RetryReason{"response is overdue", RetryUrgency::kUrgent};
 }
 
@@ -209,33 +215,25 @@
       RecordSoundExecution(*it);
     }
     if (IsQueuedOnExpiringWeights(*it, now)) {
-      CancelAttempt(*it, "weights too old to start on");
+      AbandonAttempt(it.get(), "weights too old to start on");
       if (ended_) return;
     }
   }
-  if (in_flight_.empty()) return;
+  if (in_flight_.size() != 1 || !route_->IsRetryable() ||
+      attempts_ >= route_->max_attempts) {
+    return;
+  }
   std::shared_ptr<FleetAttempt> attempt = in_flight_.front();
   auto reason = FindRetryReason(*attempt, now);
   if (!reason) return;
-  if (in_flight_.size() == 1 && route_->IsRetryable()) {
-    if (auto placement = TryPlaceRetry(reason->urgency))
-      return StartSecondAttempt(*attempt, *reason, *placement, now);
-  }
+  if (auto placement = TryPlaceRetry(reason->urgency))
+    return StartSecondAttempt(*attempt, *reason, *placement, now);
   // The caller can still try another router. A stopped engine would execute
   // the request after that caller has left.
-  bool is_stuck =
-      std::all_of(in_flight_.begin(), in_flight_.end(), [&](const auto& it) {
-        return now - it->last_data_at > kUnstartedRequestTimeout &&
-               FindRetryReason(*it, now).has_value();
-      });
-  if (!is_stuck || !service_->engine || event_count_ > 0 ||
-      exchange_->started()) {
-    return;
-  }
-  PC_INFO(kRouter, "event=request_stuck id=" << fields_.request_id
-                                             << " attempts=" << attempts_);
-  CancelAttempts(UpstreamVerdict::kUnknown);
-  GiveUp(reason->why, kRetryElsewhereDelay);
+  bool is_stuck = route_->kind == RequestKind::kStream && service_->engine &&
+                  event_count_ == 0 && !exchange_->started() &&
+                  attempt->QuietTime(now) > kUnstartedRequestTimeout;
+  if (is_stuck) AbandonAttempt(attempt.get(), reason->why);
 }
 
 // The first attempt goes on, because the second one may be refused, and a
@@ -244,20 +242,26 @@
                                       const RetryReason& reason,
                                       const Placement& placement,
                                       MonotonicTime now) {
-  PC_INFO(kRouter, "event=second_attempt id="
-                       << fields_.request_id
-                       << " upstream=" << first.upstream_id
-                       << " second=" << placement.upstream->record.id
-                       << " events=" << event_count_
-                       << " quiet_ms=" << (now - first.last_data_at).count()
-                       << " why=\"" << reason.why << "\"");
+  PC_INFO(kRouter,
+          "event=second_attempt id="
+              << fields_.request_id << " upstream=" << first.upstream_id
+              << " second=" << placement.upstream->record.id << " events="
+              << event_count_ << " quiet_ms=" << first.QuietTime(now).count()
+              << " why=\"" << reason.why << "\"");
   ++state_->counters.second_attempts;
   StartAttempt(placement);
 }
 
 void FleetRequest::ExcuseSilence(Milliseconds time) {
   for (const auto& it : in_flight_) {
-    it->last_data_at = std::min(it->last_data_at + time, state_->Now());
+    it->own_stall += time;
+    it->own_stall_since_data += time;
+  }
+}
+
+void FleetRequest::OnUpstreamCrash(const std::string& upstream_id) {
+  for (const auto& it : in_flight_) {
+    if (it->upstream_id == upstream_id) RecordLossIfSilent(it.get());
   }
 }
 
@@ -270,7 +274,7 @@
   return event_count_ == 0 && upstream.status && upstream.status->loading &&
          now - upstream.status_received_at <
              UpstreamRegistry::kStatusLifetime &&
-         now - attempt.sent_at > kMaxImmediateStartTime;
+         attempt.Age(now) > kMaxImmediateStartTime;
 }
 
 // Whether the request is still queued at an engine whose weights are about to
@@ -282,14 +286,14 @@
          state_->minimum_versions.MinimumToStart(fields_.model, now);
 }
 
-void FleetRequest::CancelAttempt(const FleetAttempt& attempt, const char* why) {
+void FleetRequest::AbandonAttempt(FleetAttempt* attempt, const char* why) {
   PC_INFO(kRouter, "event=attempt_abandoned id="
                        << fields_.request_id << " upstream="
-                       << attempt.upstream_id << " events=0 quiet_ms="
-                       << (state_->Now() - attempt.last_data_at).count()
-                       << " why=\"" << why << "\"");
+                       << attempt->upstream_id << " events=0 quiet_ms="
+                       << attempt->QuietTime(state_->Now()).count() << " why=\""
+                       << why << "\"");
   RecordLossIfSilent(attempt);
-  RemoveAttempt(attempt, UpstreamVerdict::kUnknown);
+  RemoveAttempt(*attempt, UpstreamVerdict::kUnknown);
   execution_state_ = ExecutionState::kMayHaveExecuted;
   ContinueOrFail(why);
 }
@@ -297,7 +301,7 @@
 void FleetRequest::CancelAttempts(UpstreamVerdict verdict) {
   auto attempts = in_flight_;
   for (const auto& it : attempts) {
-    RecordLossIfSilent(*it);
+    RecordLossIfSilent(it.get());
     RemoveAttempt(*it, verdict);
     execution_state_ = ExecutionState::kMayHaveExecuted;
   }
--- a/Source/Core/Router/fleet_request_placement.cc
+++ b/Source/Core/Router/fleet_request_placement.cc
@@ -17,10 +17,8 @@
   std::erase_if(out, [this](FleetUpstream* it) {
     return tried_upstreams_.contains(it->record.id);
   });
-  // What a silent engine starts after its silence would be late. A plain
-  // service may be silent because its requests take long.
-  if (service_->engine)
-    std::erase_if(out, [](FleetUpstream* it) { return it->silent_since; });
+  // What a silent engine starts after its silence would be late.
+  std::erase_if(out, [](FleetUpstream* it) { return it->silent_since; });
   if (service_->engine && route_->is_generative) {
     uint64_t minimum_version =
         state_->minimum_versions.MinimumToSend(fields_.model, now);
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -370,6 +370,8 @@
 void FleetRouter::ReportCrashes(MonotonicTime now) {
   for (const UpstreamCrash& it : state_.registry.PopCrashes()) {
     state_.crash_correlator.OnUpstreamCrash(it, now);
+    for (auto& [key, request] : state_.requests)
+      request->OnUpstreamCrash(it.id);
   }
   state_.crash_correlator.RemoveExpired(now, store_reachable_since_);
   auto observations = state_.crash_correlator.PopNewObservations();
--- a/Source/UnitTests/Router/silent_upstream_test.cc
+++ b/Source/UnitTests/Router/silent_upstream_test.cc
@@ -158,6 +158,7 @@
   EngineStandIn& engine_1 = *fixture.engines["engine-1"];
   std::vector<std::unique_ptr<Http1Call>> calls;
   std::vector<std::optional<CallResult>> results(6);
+  calls.reserve(results.size());
   for (auto& it : results) {
     calls.push_back(fixture.StartRequest("/stream/1", kApiKey, {}, &it));
   }
