--- a/Source/Core/Router/fleet_request_failure.cc
+++ b/Source/Core/Router/fleet_request_failure.cc
@@ -11,9 +11,8 @@
 namespace {
 
 // A sound upstream may be silent for a second or two. A second attempt beside
-// the first costs another execution, so it starts after kMinSilence only where
-// slots are free, and elsewhere after kLongSilence. Callers of a stream leave
-// after three seconds without an event.
+// the first costs another execution, so it starts after kMinSilence only at an
+// upstream with half of its slots free, and elsewhere after kLongSilence.
 constexpr Milliseconds kMinSilence{900};
 constexpr Milliseconds kLongSilence{2200};
 // Share of a service's engines above which a silence is not the upstream's own:
