Send chunks that are larger than the burst of the upload pacer

On the Shared Route Desk versions reached no upstream: pieces have 49,152 bytes there, and the pacer's burst was 32 KiB. TokenBucket::Wait() was cut to the burst while TryTake() compared with the whole, so that such a chunk was never sent; three of them filled the queue of uploads, which turned every other request away.

Class: a component that waits for ever when one unit of work exceeds its capacity. A full bucket now lends, and later consumers wait for the debt; that also holds for workspace limits below one request and for the swarm's uplink. The burst follows from the link.

--- a/Source/Core/Agent/chunk_server.cc
+++ b/Source/Core/Agent/chunk_server.cc
@@ -10,7 +10,6 @@
 
 constexpr size_t kChunkNumberBytes = 4;
 constexpr int kBitsPerByte = 8;
-constexpr double kTypicalChunkBytes = 32 << 10;
 // Chunk requests that wait for upload bandwidth. Further ones are rejected at
 // once, because another peer may be able to send the chunk sooner.
 constexpr size_t kMaxQueuedUploads = 3;
@@ -52,9 +51,7 @@
 
 ChunkServer::ChunkServer(EventLoop* loop, double link_bytes_per_second,
                          CopyLookup lookup)
-    : loop_(loop),
-      lookup_(std::move(lookup)),
-      pacer_(link_bytes_per_second, kTypicalChunkBytes) {}
+    : loop_(loop), lookup_(std::move(lookup)), pacer_(link_bytes_per_second) {}
 
 void ChunkServer::Serve(const std::shared_ptr<Http1Exchange>& exchange) {
   auto parts = Split(exchange->request().Path(), '/');
--- a/Source/Core/Fleet/transfer_pacing.cc
+++ b/Source/Core/Fleet/transfer_pacing.cc
@@ -16,6 +16,8 @@
 constexpr Milliseconds kMaxPause{400};
 // Share of a link's rate; the rest is for the engine's responses.
 constexpr double kUploadShare = 0.8;
+// An idle link sends as many bytes at once as it carries in this time.
+constexpr double kUploadBurstSeconds = 0.05;
 
 }  // namespace
 
@@ -33,7 +35,8 @@
   not_before_ = now + std::min(elapsed / 2, kMaxPause);
 }
 
-UploadPacer::UploadPacer(double link_bytes_per_second, double chunk_bytes)
-    : bucket_(kUploadShare * link_bytes_per_second, chunk_bytes) {}
+UploadPacer::UploadPacer(double link_bytes_per_second)
+    : bucket_(kUploadShare * link_bytes_per_second,
+              kUploadShare * link_bytes_per_second * kUploadBurstSeconds) {}
 
 }  // namespace primrosecove
--- a/Source/Core/Fleet/transfer_pacing.h
+++ b/Source/Core/Fleet/transfer_pacing.h
@@ -34,7 +34,7 @@
 class UploadPacer {
  public:
   /// `link_bytes_per_second` 0 means unlimited.
-  UploadPacer(double link_bytes_per_second, double chunk_bytes);
+  explicit UploadPacer(double link_bytes_per_second);
   /// Consumes the bytes of one chunk if it may be sent now.
   bool TrySend(size_t bytes, SteadyTime now) {
     return bucket_.TryTake(static_cast<double>(bytes), now);
--- a/Source/Core/Net/token_bucket.cc
+++ b/Source/Core/Net/token_bucket.cc
@@ -21,7 +21,7 @@
 bool TokenBucket::TryTake(double n, SteadyTime now) {
   if (rate_ <= 0) return true;
   Refill(now);
-  if (available_ < n) return false;
+  if (available_ < std::min(n, burst_)) return false;
   available_ -= n;
   return true;
 }
--- a/Source/Core/Net/token_bucket.h
+++ b/Source/Core/Net/token_bucket.h
@@ -13,7 +13,10 @@
  public:
   /// The unit of `tokens_per_second` and `burst` is the caller's, e.g. bytes.
   TokenBucket(double tokens_per_second, double burst);
-  /// Consumes `n` tokens if that many are available; returns whether it did.
+  /// Consumes `n` tokens if that many are available; returns whether it did. A
+  /// full bucket also grants more than the burst size, and the number of
+  /// available tokens becomes negative, so that a large consumer is delayed but
+  /// never blocked.
   bool TryTake(double n, SteadyTime now);
   /// Consumes `n` tokens unconditionally. The number of available tokens may
   /// become negative, which delays later consumers.
