Bound the connections that fetch weights from the origin and other zones

Every agent could fetch from the origin, two chunks at a time, and subscribed to every other agent: 153 agents need up to 190 connections to an origin that takes 48, and 23,000 feeds. Connections beyond the cap are reset, requests that share the origin's link were given up after 2.5 s although their data arrived, and after 16 failed requests to one member all agents asked the origin for the manifest.

Now 12 members by rendezvous hash connect to the origin; they are first in their zones for their chunks, so that a chunk still enters each zone once. A chunk has at most 5 sources in other zones, and agents subscribe to planned sources alone. Members that connect to the origin fetch the manifest in turn, a second each, and agents ask a random member of their zone between. Fetches are ended by silence, not by their length; the limits of a whole fetch and of a slow chunk follow from the chunk's size and the link.

--- a/Source/Core/Agent/weight_stager.cc
+++ b/Source/Core/Agent/weight_stager.cc
@@ -60,6 +60,11 @@
   update_ = update;
   update_received_at_ = now;
   context_.update = &*update_;
+  if (settings_.link_bytes_per_second > 0) {
+    constexpr double kMsPerSecond = 1000;
+    fetch_pacer_.SetChunkTime(Milliseconds(static_cast<int64_t>(
+        update.chunk_bytes / settings_.link_bytes_per_second * kMsPerSecond)));
+  }
   for (const FleetMember& it : update.members) {
     if (it.upstream == settings_.upstream_endpoint) own_id_ = it.id;
   }
--- a/Source/Core/Agent/weight_transfer.cc
+++ b/Source/Core/Agent/weight_transfer.cc
@@ -17,13 +17,18 @@
 // Chunks that one agent fetches from the origin concurrently. All agents share
 // the origin's link, so more would only delay each chunk.
 constexpr size_t kMaxConcurrentOriginFetches = 2;
-// A chunk request to a peer fails after this time, and the peer is avoided.
-constexpr Milliseconds kChunkFetchTimeout{1500};
+// A chunk request to a peer fails after this time without data, and the peer is
+// avoided.
+constexpr Milliseconds kChunkStallTimeout{1500};
+// The whole request may take this many times as long as the chunk takes on this
+// host's link, because the peer sends to others, too.
+constexpr double kMaxChunkDelay = 40;
 constexpr Milliseconds kPeerAvoidDuration{4000};
 constexpr Milliseconds kRetryDelay{60};
-// Failed requests for the manifest to the member that fetches it from the
-// origin, after which this agent fetches it from the origin itself.
-constexpr int kMaxManifestTriesAtPeer = 16;
+// Time for which agents wait for one member to fetch the manifest.
+constexpr Milliseconds kManifestTurn{1000};
+// Failed requests for the manifest between two log lines.
+constexpr int kManifestTriesPerLogLine = 16;
 // About the time in which a busy peer sends one chunk.
 constexpr Milliseconds kBusyPeerDelay{30};
 // When this share of a version's chunks is available somewhere, the remaining
@@ -104,10 +109,9 @@
 void WeightTransfer::FetchManifest() {
   if (manifest_in_flight_ || copy_.has_digests()) return;
   manifest_in_flight_ = true;
-  std::string fetcher = ManifestFetcher(MakePlanInput());
-  const FleetMember* peer = FindMember(fetcher);
-  if (peer == nullptr || fetcher == *context_.self ||
-      manifest_tries_ >= kMaxManifestTriesAtPeer) {
+  std::string source = ChooseManifestSource();
+  const FleetMember* peer = FindMember(source);
+  if (peer == nullptr || source == *context_.self) {
     auto on_manifest = [this](Result<platform::WeightManifest> manifest) {
       if (!manifest) return OnManifest(manifest.error(), "origin");
       OnManifest(std::move(manifest.value().digests), "origin");
@@ -130,6 +134,28 @@
                    kPeerManifestTimeout, on_manifest);
 }
 
+// Agents that failed together try again at different times.
+Milliseconds WeightTransfer::RetryDelay() {
+  std::uniform_int_distribution<int64_t> ms(kRetryDelay.count() / 2,
+                                            kRetryDelay.count() * 3 / 2);
+  return Milliseconds(ms(random_engine_));
+}
+
+// Asks the member whose turn it is and a random one of the zone alternately, so
+// that the manifest spreads within the zone as soon as one member has it.
+std::string WeightTransfer::ChooseManifestSource() {
+  ChunkPlanInput input = MakePlanInput();
+  ChunkPlanner planner(input);
+  auto elapsed = EventLoop::Now() - started_at_;
+  std::string fetcher =
+      planner.ManifestFetcher(static_cast<size_t>(elapsed / kManifestTurn));
+  std::vector<std::string> peers = planner.ZonePeers();
+  if (fetcher == *context_.self || manifest_tries_ % 2 == 0 || peers.empty())
+    return fetcher;
+  std::uniform_int_distribution<size_t> index(0, peers.size() - 1);
+  return peers[index(random_engine_)];
+}
+
 void WeightTransfer::OnManifest(Result<std::vector<std::string>> digests,
                                 const char* source) {
   manifest_in_flight_ = false;
@@ -140,13 +166,13 @@
   }
   if (!why.empty()) {
     ++manifest_tries_;
-    if (manifest_tries_ % kMaxManifestTriesAtPeer == 0) {
+    if (manifest_tries_ % kManifestTriesPerLogLine == 0) {
       PC_WARN(kWeights, "event=manifest_missing version="
                             << copy_.version() << " source=" << source
                             << " why=\"" << why << "\"");
     }
     retry_timer_ =
-        context_.loop->After(kRetryDelay, [this] { FetchManifest(); });
+        context_.loop->After(RetryDelay(), [this] { FetchManifest(); });
     return;
   }
   PC_INFO(kWeights, "event=manifest_read version=" << copy_.version()
@@ -189,15 +215,16 @@
   plan_.clear();
   if (!copy_.has_digests() || engine_pending_ > 0) return;
   ChunkPlanInput input = MakePlanInput();
+  ChunkPlanner planner(input);
   Milliseconds overdue = OverdueTime();
+  std::set<std::string> peers;
   for (uint32_t n : copy_.Missing()) {
-    plan_[n] = PlanChunk(input, n, overdue);
+    ChunkSources& sources = plan_[n] = planner.Plan(n, overdue);
+    peers.insert(sources.zone_peers.begin(), sources.zone_peers.end());
+    peers.insert(sources.remote_peers.begin(), sources.remote_peers.end());
   }
   for (const FleetMember& it : context_.update->members) {
-    bool useful = !it.leaving || it.served_version == copy_.version();
-    if (it.id == *context_.self || !useful || avoided_.contains(it.id))
-      continue;
-    if (!plan_.empty() && !feeds_.contains(it.id)) SubscribeToPeer(it);
+    if (peers.contains(it.id) && !feeds_.contains(it.id)) SubscribeToPeer(it);
   }
   FetchNext();
   FetchFromOrigin();
@@ -327,7 +354,8 @@
   request.target = PeerWeightsPath(copy_.model(), copy_.version()) +
                    "?piece=" + std::to_string(n);
   CallOptions options;
-  options.timeout = kChunkFetchTimeout;
+  options.timeout = ChunkTimeout();
+  options.stall_timeout = kChunkStallTimeout;
   CallEvents events;
   events.on_end = [this, n](CallResult result) { OnFetchEnd(n, result); };
   auto fetch = std::make_unique<Fetch>();
@@ -339,6 +367,15 @@
   fetches_[n] = std::move(fetch);
 }
 
+Milliseconds WeightTransfer::ChunkTimeout() const {
+  double link = context_.settings->link_bytes_per_second;
+  if (link <= 0) return kChunkStallTimeout;
+  constexpr double kMsPerSecond = 1000;
+  double ms =
+      kMaxChunkDelay * context_.update->chunk_bytes / link * kMsPerSecond;
+  return std::max(kChunkStallTimeout, Milliseconds(static_cast<int64_t>(ms)));
+}
+
 void WeightTransfer::OnFetchEnd(uint32_t n, const CallResult& result) {
   constexpr int kBusyStatus = 503;
   SteadyTime now = EventLoop::Now();
@@ -382,7 +419,7 @@
                            // The delay avoids a busy loop if the origin refuses
                            // requests immediately.
                            origin_timer_ = context_.loop->After(
-                               kRetryDelay, [this] { FetchFromOrigin(); });
+                               RetryDelay(), [this] { FetchFromOrigin(); });
                            return;
                          }
                          AddChunk(n, std::move(bytes).value(),
@@ -408,6 +445,8 @@
 
 void WeightTransfer::CheckComplete() {
   if (!copy_.complete() || std::exchange(completion_reported_, true)) return;
+  // The origin limits its connections, and others may need them.
+  context_.client->DropIdle(context_.update->origin);
   events_.on_complete();
 }
 
--- a/Source/Core/Agent/weight_transfer.h
+++ b/Source/Core/Agent/weight_transfer.h
@@ -64,6 +64,9 @@
   ChunkPlanInput MakePlanInput();
   const FleetMember* FindMember(const std::string& id) const;
   void FetchManifest();
+  std::string ChooseManifestSource();
+  Milliseconds RetryDelay();
+  Milliseconds ChunkTimeout() const;
   void OnManifest(Result<std::vector<std::string>> digests, const char* source);
   void ReadEngine();
   void OnEngineChunk(uint32_t n, Result<std::string> bytes);
@@ -93,6 +96,7 @@
   platform::OriginClient origin_;
   platform::LocalEngineClient engine_;
   Http1Calls peer_calls_;
+  SteadyTime started_at_ = EventLoop::Now();
   bool manifest_in_flight_ = false;
   int manifest_tries_ = 0;
   uint32_t engine_next_ = 0;
--- a/Source/Core/Fleet/chunk_planner.cc
+++ b/Source/Core/Fleet/chunk_planner.cc
@@ -1,6 +1,8 @@
 #include "Core/Fleet/chunk_planner.h"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 #include "Core/Common/digest.h"
 
@@ -22,104 +24,126 @@
 
 using Members = std::vector<const FleetMember*>;
 
-// Returns the member with the highest score for `item`, or null.
-const FleetMember* HighestScore(const Members& members,
-                                const std::string& item) {
-  const FleetMember* out = nullptr;
-  uint64_t best = 0;
+// Sorts by score for `item`, the highest first.
+Members Ranked(const Members& members, const std::string& item) {
+  std::vector<std::pair<uint64_t, const FleetMember*>> scores;
+  scores.reserve(members.size());
+  for (const FleetMember* it : members)
+    scores.emplace_back(RendezvousScore(item, it->id), it);
+  std::sort(scores.begin(), scores.end(), std::greater<>());
+  Members out;
+  out.reserve(scores.size());
+  for (auto& [score, member] : scores) out.push_back(member);
+  return out;
+}
+
+void AppendIds(const Members& members, const std::string& self,
+               std::vector<std::string>* out) {
   for (const FleetMember* it : members) {
-    uint64_t score = RendezvousScore(item, it->id);
-    if (out != nullptr && score <= best) continue;
-    out = it;
-    best = score;
+    if (it->id != self) out->push_back(it->id);
   }
-  return out;
 }
 
-// The usable members, grouped by zone and by whether they hold the version.
-struct MemberGroups {
-  Members zone_holders;
-  Members remote_holders;
-  Members zone_members;  // including this agent
-  Members all;           // including this agent
-};
-
-std::string ZoneOf(const ChunkPlanInput& input) {
-  for (const FleetMember& it : input.members) {
-    if (it.id == input.self) return it.zone;
+}  // namespace
+
+ChunkPlanner::ChunkPlanner(const ChunkPlanInput& input)
+    : input_(input),
+      version_key_(input.model + "/" + std::to_string(input.version)) {
+  for (const FleetMember& it : input_.members) {
+    if (it.id == input_.self) zone_ = it.zone;
   }
-  return "";
+  GroupMembers();
+  origin_fetchers_ = Ranked(all_, version_key_);
+  if (origin_fetchers_.size() > kMaxOriginFetchers)
+    origin_fetchers_.resize(kMaxOriginFetchers);
 }
 
-MemberGroups GroupMembers(const ChunkPlanInput& input) {
-  MemberGroups out;
-  std::string zone = ZoneOf(input);
-  for (const FleetMember& it : input.members) {
-    bool is_self = it.id == input.self;
-    if (!is_self && input.avoided->contains(it.id)) continue;
-    bool same_zone = it.zone == zone;
-    if (!is_self && it.served_version == input.version) {
-      (same_zone ? out.zone_holders : out.remote_holders).push_back(&it);
-    }
+void ChunkPlanner::GroupMembers() {
+  for (const FleetMember& it : input_.members) {
+    bool is_self = it.id == input_.self;
+    if (!is_self && input_.avoided->contains(it.id)) continue;
+    bool same_zone = it.zone == zone_;
+    if (!is_self && it.served_version == input_.version)
+      (same_zone ? zone_holders_ : remote_holders_).push_back(&it);
     // A leaving member may stop before it has delivered.
     if (it.leaving && !is_self) continue;
-    if (same_zone) out.zone_members.push_back(&it);
-    out.all.push_back(&it);
+    if (same_zone) zone_members_.push_back(&it);
+    all_.push_back(&it);
   }
-  return out;
 }
 
-// Returns how many of `members` have a higher score for `item` than `self`.
-size_t RankOf(const Members& members, const std::string& item,
-              const std::string& self) {
-  uint64_t own_score = RendezvousScore(item, self);
+Members ChunkPlanner::RankedOriginFetchers(const std::string& item) const {
+  return Ranked(origin_fetchers_, item);
+}
+
+// The member that fetches the chunk from the origin is first in its zone, so
+// that no other member of the zone imports the chunk as well.
+size_t ChunkPlanner::ZoneRank(const std::string& item,
+                              const FleetMember* fetcher) const {
+  if (fetcher != nullptr && fetcher->id == input_.self) return 0;
+  uint64_t own_score = RendezvousScore(item, input_.self);
   size_t out = 0;
-  for (const FleetMember* it : members) {
-    if (it->id != self && RendezvousScore(item, it->id) > own_score) ++out;
+  for (const FleetMember* it : zone_members_) {
+    if (it->id == input_.self) continue;
+    if (it == fetcher || RendezvousScore(item, it->id) > own_score) ++out;
   }
   return out;
 }
 
-void AppendIds(const Members& members, const std::string& self,
-               std::vector<std::string>* out) {
-  for (const FleetMember* it : members) {
-    if (it->id != self) out->push_back(it->id);
+// The members that may fetch the chunk from the origin, then those that are
+// likely to import it into other zones.
+std::vector<std::string> ChunkPlanner::RemotePeers(
+    const std::string& item) const {
+  Members candidates = remote_holders_;
+  if (candidates.empty()) {
+    candidates = RankedOriginFetchers(item);
+    if (candidates.size() > kMaxTakeovers + 1)
+      candidates.resize(kMaxTakeovers + 1);
+    for (const FleetMember* it : Ranked(all_, item)) {
+      if (std::ranges::find(candidates, it) == candidates.end())
+        candidates.push_back(it);
+    }
+  } else {
+    candidates = Ranked(candidates, item);
   }
+  std::erase_if(candidates, [this](const auto* it) {
+    return it->zone == zone_ || it->id == input_.self;
+  });
+  if (candidates.size() > kMaxRemotePeers) candidates.resize(kMaxRemotePeers);
+  std::vector<std::string> out;
+  AppendIds(candidates, input_.self, &out);
+  return out;
 }
 
-std::string VersionKey(const ChunkPlanInput& input) {
-  return input.model + "/" + std::to_string(input.version);
-}
-
-}  // namespace
-
-ChunkSources PlanChunk(const ChunkPlanInput& input, uint32_t n,
-                       Milliseconds overdue) {
-  MemberGroups groups = GroupMembers(input);
-  std::string item = VersionKey(input) + "/" + std::to_string(n);
+ChunkSources ChunkPlanner::Plan(uint32_t n, Milliseconds overdue) const {
+  std::string item = version_key_ + "/" + std::to_string(n);
   ChunkSources out;
-  AppendIds(groups.zone_holders, input.self, &out.zone_peers);
-  AppendIds(groups.zone_members, input.self, &out.zone_peers);
-  if (!groups.zone_holders.empty()) return out;
-  out.zone_rank = RankOf(groups.zone_members, item, input.self);
-  if (!ShouldFetch(out.zone_rank, overdue)) return out;
-  for (const FleetMember* it : groups.remote_holders) {
-    out.remote_peers.push_back(it->id);
-  }
-  if (!out.remote_peers.empty()) return out;
-  for (const FleetMember* it : groups.all) {
-    if (it->zone != ZoneOf(input)) out.remote_peers.push_back(it->id);
+  AppendIds(zone_holders_, input_.self, &out.zone_peers);
+  AppendIds(zone_members_, input_.self, &out.zone_peers);
+  if (!zone_holders_.empty()) return out;
+  Members fetchers = RankedOriginFetchers(item);
+  out.zone_rank = ZoneRank(item, fetchers.empty() ? nullptr : fetchers[0]);
+  if (remote_holders_.empty()) {
+    for (size_t rank = 0; rank < fetchers.size(); ++rank) {
+      if (fetchers[rank]->id == input_.self)
+        out.origin = ShouldFetch(rank, overdue);
+    }
   }
-  out.origin = ShouldFetch(RankOf(groups.all, item, input.self), overdue);
+  if (ShouldFetch(out.zone_rank, overdue)) out.remote_peers = RemotePeers(item);
   return out;
 }
 
-size_t HoldersNeeded(size_t zone_rank) { return (zone_rank + 1) / 2; }
+std::string ChunkPlanner::ManifestFetcher(size_t turn) const {
+  if (origin_fetchers_.empty()) return "";
+  return origin_fetchers_[turn % origin_fetchers_.size()]->id;
+}
 
-std::string ManifestFetcher(const ChunkPlanInput& input) {
-  const FleetMember* best =
-      HighestScore(GroupMembers(input).all, VersionKey(input));
-  return best == nullptr ? "" : best->id;
+std::vector<std::string> ChunkPlanner::ZonePeers() const {
+  std::vector<std::string> out;
+  AppendIds(zone_members_, input_.self, &out);
+  return out;
 }
 
+size_t HoldersNeeded(size_t zone_rank) { return (zone_rank + 1) / 2; }
+
 }  // namespace primrosecove
--- a/Source/Core/Fleet/chunk_planner.h
+++ b/Source/Core/Fleet/chunk_planner.h
@@ -32,23 +32,54 @@
   size_t zone_rank = 0;
 };
 
-/// Plans one chunk. Its sources are the members of the agent's own zone. If
-/// none of them serves the version, one member of the zone fetches the chunk
-/// from another zone and one member of the fleet fetches it from the origin,
-/// both chosen by rendezvous hash, so that a chunk leaves the origin once and
-/// enters each zone once. The next two in rank take over when most other chunks
-/// have arrived and this one has not; `overdue` is the time since then. Chunks
-/// do not become overdue while the origin is unavailable. Thread safe.
-ChunkSources PlanChunk(const ChunkPlanInput& input, uint32_t n,
-                       Milliseconds overdue);
+/// Plans the chunks of one version. The sources of a chunk are the members of
+/// the agent's own zone. If none of them serves the version, one member of the
+/// zone fetches the chunk from another zone and one member of the fleet fetches
+/// it from the origin, both chosen by rendezvous hash, so that a chunk leaves
+/// the origin once and enters each zone once. The next two in rank take over
+/// when most other chunks have arrived and this one has not. Chunks do not
+/// become overdue while the origin is unavailable.
+///
+/// At most kMaxOriginFetchers members connect to the origin, and a chunk has at
+/// most kMaxRemotePeers sources in other zones, whatever the size of the fleet.
+/// Thread safe after construction.
+class ChunkPlanner {
+ public:
+  static constexpr size_t kMaxOriginFetchers = 12;
+  static constexpr size_t kMaxRemotePeers = 5;
+
+  /// Precondition: what `input` refers to outlives this object.
+  explicit ChunkPlanner(const ChunkPlanInput& input);
+  /// Plans one chunk; `overdue` is the time since it should have arrived.
+  ChunkSources Plan(uint32_t n, Milliseconds overdue) const;
+  /// Member to ask for the manifest: each of those that connect to the origin
+  /// in turn, so that the first one's failure delays the others by one turn.
+  /// Empty without members.
+  std::string ManifestFetcher(size_t turn) const;
+  /// Ids of the other members of the agent's zone.
+  std::vector<std::string> ZonePeers() const;
+
+ private:
+  using Members = std::vector<const FleetMember*>;
+
+  void GroupMembers();
+  std::vector<std::string> RemotePeers(const std::string& item) const;
+  Members RankedOriginFetchers(const std::string& item) const;
+  size_t ZoneRank(const std::string& item, const FleetMember* fetcher) const;
+
+  ChunkPlanInput input_;
+  std::string zone_;
+  std::string version_key_;
+  Members zone_holders_;    ///< Other members that serve the version.
+  Members remote_holders_;  ///< The same in other zones.
+  Members zone_members_;    ///< Usable members, including this agent.
+  Members all_;             ///< The same in all zones.
+  Members origin_fetchers_;
+};
 
 /// Number of zone members that must hold a chunk before the member of the given
 /// rank requests it: each holder forwards it to two others, so that no single
 /// link carries it to all. Thread safe.
 size_t HoldersNeeded(size_t zone_rank);
 
-/// The member that fetches the manifest from the origin for all others, or an
-/// empty id. Thread safe.
-std::string ManifestFetcher(const ChunkPlanInput& input);
-
 }  // namespace primrosecove
--- a/Source/Core/Fleet/transfer_pacing.cc
+++ b/Source/Core/Fleet/transfer_pacing.cc
@@ -8,9 +8,10 @@
 // Each chunk passes the queues of two links and a pause at its source; this
 // many requests keep a link of a few Mbit/s busy.
 constexpr size_t kMaxInFlight = 4;
-// A chunk that takes longer is assumed to be delayed by a narrowed link or a
-// busy source.
+// A chunk that takes longer, and more than so many times its time on the link,
+// is assumed to be delayed by a narrowed link or a busy source.
 constexpr Milliseconds kSlowChunk{250};
+constexpr int kSlowChunkFactor = 9;
 // After a slow chunk the link is left to callers for half its time, at most
 // this long.
 constexpr Milliseconds kMaxPause{400};
@@ -25,9 +26,13 @@
   return in_flight_ < max_in_flight_ && now >= not_before_;
 }
 
+void FetchPacer::SetChunkTime(Milliseconds on_link) {
+  slow_chunk_ = kSlowChunkFactor * on_link;
+}
+
 void FetchPacer::OnEnd(Milliseconds elapsed, SteadyTime now) {
   if (in_flight_ > 0) --in_flight_;
-  if (elapsed <= kSlowChunk) {
+  if (elapsed <= std::max(kSlowChunk, slow_chunk_)) {
     max_in_flight_ = kMaxInFlight;
     return;
   }
--- a/Source/Core/Fleet/transfer_pacing.h
+++ b/Source/Core/Fleet/transfer_pacing.h
@@ -21,12 +21,16 @@
   /// Records that a chunk arrived or failed `elapsed` after its request. A slow
   /// chunk causes a pause that leaves the link to other traffic.
   void OnEnd(Milliseconds elapsed, SteadyTime now);
+  /// Sets the time that one chunk takes on this host's link, from which the
+  /// time of a slow chunk follows.
+  void SetChunkTime(Milliseconds on_link);
   size_t in_flight() const { return in_flight_; }
 
  private:
   size_t in_flight_ = 0;
   size_t max_in_flight_ = 4;
   SteadyTime not_before_{};
+  Milliseconds slow_chunk_{0};
 };
 
 /// Decides when the next chunk may be sent, at a share of the link's rate. Not
--- a/Source/Core/Net/http1_calls.cc
+++ b/Source/Core/Net/http1_calls.cc
@@ -14,10 +14,15 @@
 
 void Http1Calls::Send(const Endpoint& endpoint, const HttpRequest& request,
                       Milliseconds response_timeout, Callback callback) {
-  uint64_t number = next_++;
   CallOptions options;
   options.timeout = response_timeout;
   options.connect_timeout = kConnectTimeout;
+  Send(endpoint, request, options, std::move(callback));
+}
+
+void Http1Calls::Send(const Endpoint& endpoint, const HttpRequest& request,
+                      const CallOptions& options, Callback callback) {
+  uint64_t number = next_++;
   CallEvents events;
   events.on_end = [this, number,
                    callback = std::move(callback)](CallResult result) {
--- a/Source/Core/Net/http1_calls.h
+++ b/Source/Core/Net/http1_calls.h
@@ -24,6 +24,9 @@
   /// two cases it may have received the request.
   void Send(const Endpoint& endpoint, const HttpRequest& request,
             Milliseconds response_timeout, Callback callback);
+  /// The same with the time limits in `options`.
+  void Send(const Endpoint& endpoint, const HttpRequest& request,
+            const CallOptions& options, Callback callback);
   size_t size() const { return calls_.size(); }
   /// Cancels all calls.
   void Clear() { calls_.clear(); }
--- a/Source/Core/Net/http1_client.cc
+++ b/Source/Core/Net/http1_client.cc
@@ -93,6 +93,7 @@
     self->HandleEvent(what);
   }
   bool Connect();
+  void RestartStallTimer();
   void StartParser();
   void Read();
   void HandleEvent(short what);
@@ -120,6 +121,7 @@
   CallEvents events_;
   CallResult result_;
   Timer deadline_;
+  Timer stall_deadline_;
   Timer connect_deadline_;
 };
 
@@ -148,6 +150,7 @@
       if (auto self = weak_self.lock()) self->Finish(CallEnd::kTimeout);
     });
   }
+  RestartStallTimer();
   if (open()) {
     request_written_ = true;
     bufferevent_write(bev_, bytes.data(), bytes.size());
@@ -165,6 +168,14 @@
   });
 }
 
+void Http1Connection::RestartStallTimer() {
+  if (options_.stall_timeout.count() == 0) return;
+  std::weak_ptr<Http1Connection> weak_self = weak_from_this();
+  stall_deadline_ = loop_->After(options_.stall_timeout, [weak_self] {
+    if (auto self = weak_self.lock()) self->Finish(CallEnd::kTimeout);
+  });
+}
+
 void Http1Connection::StartParser() {
   Http1Parser::Events events;
   events.on_head = [this](Http1Head head) { HandleHead(std::move(head)); };
@@ -218,6 +229,7 @@
     Close();
     return;
   }
+  RestartStallTimer();
   while (busy_ && bev_ != nullptr) {
     size_t n = evbuffer_get_contiguous_space(in);
     if (n == 0) return;
@@ -269,6 +281,7 @@
   if (!busy_) return;
   busy_ = false;
   deadline_.Cancel();
+  stall_deadline_.Cancel();
   connect_deadline_.Cancel();
   auto self = shared_from_this();
   client_->busy_.erase(self);
--- a/Source/Core/Net/http1_client.h
+++ b/Source/Core/Net/http1_client.h
@@ -45,6 +45,8 @@
 struct CallOptions {
   /// From the start of the call to its end; zero means no timeout.
   Milliseconds timeout{0};
+  /// Longest time without received data; zero means no limit.
+  Milliseconds stall_timeout{0};
   /// From the start of the call to an established connection. The latency
   /// between clients and upstreams is at most a few milliseconds; a dropped SYN
   /// is retransmitted after one second.
