Send lists of members on request and within a zone

Every router sent the list of all members to every agent each second and on each change: routers x agents x members. With 36, 153 and 153 that is some 30 MB/s, which filled the links of 24 Mbit/s between regions; registrations of servers failed, and versions reached no server. Agents sent up to ten statuses a second to each router as well.

Now routers announce a digest (about 60 bytes) each second, and on changes of the target, the configuration or, in their own zone, the members. An agent requests the list from one router, preferably of its zone; it replaces one that is silent or lacks the store. A newer target version of any router counts at once. Routers of other zones get each change of an engine's state at once, and its load at most 64 times a second altogether, each at least every 500 ms.

Agents have to be updated before routers.

--- a/Source/Core/Agent/fleet_agent.cc
+++ b/Source/Core/Agent/fleet_agent.cc
@@ -18,9 +18,9 @@
 // An unchanged status is resent at this interval, so that routers detect a lost
 // agent.
 constexpr Milliseconds kStatusResendPeriod{500};
-// Routers send an update every second; one that has been silent for this long
-// is considered gone.
-constexpr Milliseconds kRouterTimeout{3500};
+// Statuses a second that an agent sends to routers in other zones, as long as
+// each gets one in kStatusResendPeriod.
+constexpr int64_t kRemoteStatusesPerSecond = 64;
 constexpr Milliseconds kLogFlushPeriod{200};
 // A poll within the host takes a few milliseconds, or some tens of them if the
 // host is short of processor time.
@@ -41,6 +41,7 @@
           client_.get(), settings_.upstream_endpoint)),
       stager_(std::make_unique<WeightStager>(loop_, client_.get(),
                                              engine_.get(), settings_)),
+      update_source_(settings_.ip, settings_.zone),
       last_sent_at_(EventLoop::Now() - kStatusResendPeriod) {
   status_.upstream = settings_.upstream_endpoint;
   // The wall clock keeps the sequence increasing across restarts, because the
@@ -162,12 +163,31 @@
       peer_socket_->Send(EncodeMessage(it), from);
     return;
   }
+  if (const auto* digest = std::get_if<DeploymentDigest>(&message.value()))
+    return OnDeploymentDigest(*digest, from);
   const auto* update = std::get_if<DeploymentUpdate>(&message.value());
   if (update == nullptr) return;
-  if (routers_.insert_or_assign(from, EventLoop::Now()).second) {
-    PC_INFO(kMembership, "event=router_heard at=" << from.ToString());
+  RecordRouter(from);
+  if (update->service != settings_.service) return;
+  if (stager_->ApplyUpdate(*update))
+    update_source_.OnUpdate(from, DigestOf(*update), EventLoop::Now());
+}
+
+void FleetAgent::OnDeploymentDigest(const DeploymentDigest& digest,
+                                    const Endpoint& from) {
+  if (digest.service != settings_.service) return;
+  RecordRouter(from);
+  if (update_source_.OnDigest(from, digest, EventLoop::Now())) {
+    peer_socket_->Send(EncodeMessage(DeploymentRequest{digest.service}), from);
+  }
+  stager_->ApplyTarget(digest.target_weights_version,
+                       Milliseconds(digest.target_age_ms));
+}
+
+void FleetAgent::RecordRouter(const Endpoint& router) {
+  if (routers_.insert_or_assign(router, EventLoop::Now()).second) {
+    PC_INFO(kMembership, "event=router_heard at=" << router.ToString());
   }
-  stager_->ApplyUpdate(*update);
 }
 
 void FleetAgent::ForwardToRouters(std::string_view datagram,
@@ -237,7 +257,7 @@
 void FleetAgent::SendStatus() {
   SteadyTime now = EventLoop::Now();
   std::erase_if(routers_, [now](const auto& it) {
-    return now - it.second > kRouterTimeout;
+    return now - it.second > UpdateSource::kRouterTimeout;
   });
   status_.staged_version = stager_->staged_version();
   status_.reload_in_ms = UpstreamStatus::kNoReloadPlanned;
@@ -245,16 +265,43 @@
     status_.reload_in_ms = static_cast<uint32_t>(it->count());
   }
   status_.active_routers = static_cast<uint32_t>(routers_.size());
-  uint64_t sequence = std::exchange(status_.sequence, 0);
-  std::string encoded = EncodeMessage(status_);
-  status_.sequence = sequence;
+  UpstreamStatus content = status_;
+  content.sequence = 0;
+  std::string encoded = EncodeMessage(content);
   if (encoded == last_sent_status_ && now - last_sent_at_ < kStatusResendPeriod)
     return;
   last_sent_status_ = std::move(encoded);
   last_sent_at_ = now;
   ++status_.sequence;
   std::string datagram = EncodeMessage(status_);
-  for (auto& [router, heard] : routers_) peer_socket_->Send(datagram, router);
+  bool send_to_remote = IsRemoteStatusDue(std::move(content), now);
+  for (auto& [router, heard] : routers_) {
+    if (send_to_remote || !update_source_.IsRemote(router))
+      peer_socket_->Send(datagram, router);
+  }
+}
+
+// Routers in other zones need each change of the engine's state at once, but
+// its load only as often as the links between zones can carry it.
+bool FleetAgent::IsRemoteStatusDue(UpstreamStatus content, SteadyTime now) {
+  int64_t remote = std::ranges::count_if(routers_, [this](const auto& it) {
+    return update_source_.IsRemote(it.first);
+  });
+  constexpr int64_t kMsPerSecond = 1000;
+  Milliseconds period =
+      std::min(Milliseconds(remote * kMsPerSecond / kRemoteStatusesPerSecond),
+               kStatusResendPeriod);
+  content.running = 0;
+  content.waiting = 0;
+  content.slowdown_percent = 0;
+  content.active_routers = 0;
+  if (content.reload_in_ms != UpstreamStatus::kNoReloadPlanned)
+    content.reload_in_ms = 0;
+  std::string state = EncodeMessage(content);
+  if (state == remote_state_ && now - sent_to_remote_at_ < period) return false;
+  remote_state_ = std::move(state);
+  sent_to_remote_at_ = now;
+  return true;
 }
 
 }  // namespace primrosecove
--- a/Source/Core/Agent/fleet_agent.h
+++ b/Source/Core/Agent/fleet_agent.h
@@ -8,6 +8,7 @@
 
 #include "Core/Agent/weight_stager.h"
 #include "Core/Control/metrics.h"
+#include "Core/Fleet/update_source.h"
 #include "Core/Membership/crash_exchange.h"
 #include "Core/Membership/rate_limit_relay.h"
 #include "Core/Net/http1_server.h"
@@ -35,6 +36,9 @@
   void RecordResponding(bool responding);
   void OnEngineStatus(Result<EngineStatus> status);
   void SendStatus();
+  bool IsRemoteStatusDue(UpstreamStatus content, SteadyTime now);
+  void OnDeploymentDigest(const DeploymentDigest& digest, const Endpoint& from);
+  void RecordRouter(const Endpoint& router);
 
   HostSettings settings_;
   EventLoop* loop_;
@@ -47,12 +51,16 @@
   std::unique_ptr<UdpSocket> peer_socket_;
   /// Time of the last datagram from each.
   std::map<Endpoint, SteadyTime> routers_;
+  UpdateSource update_source_;
   CrashRelay crash_relay_;
   RateLimitRelay rate_limit_relay_;
   UpstreamStatus status_;
   std::string last_sent_status_;  ///< Last sent status, encoded without its
                                   ///< sequence number.
   SteadyTime last_sent_at_;
+  /// Last status sent to routers in other zones, without the load.
+  std::string remote_state_;
+  SteadyTime sent_to_remote_at_{};
   int missed_polls_ = 0;
   bool poll_in_flight_ = false;
   SteadyTime poll_sent_at_;
--- a/Source/Core/Agent/weight_stager.cc
+++ b/Source/Core/Agent/weight_stager.cc
@@ -50,13 +50,13 @@
                                                   target.targeted_at);
 }
 
-void WeightStager::ApplyUpdate(const DeploymentUpdate& update) {
-  if (update.service != settings_.service) return;
+bool WeightStager::ApplyUpdate(const DeploymentUpdate& update) {
+  if (update.service != settings_.service) return false;
   SteadyTime now = EventLoop::Now();
   bool is_stale = update_ && (update.store_revision < update_->store_revision ||
                               update.target_weights_version <
                                   update_->target_weights_version);
-  if (is_stale && now - update_received_at_ < kUpdateLifetime) return;
+  if (is_stale && now - update_received_at_ < kUpdateLifetime) return false;
   update_ = update;
   update_received_at_ = now;
   context_.update = &*update_;
@@ -68,13 +68,25 @@
   for (const FleetMember& it : update.members) {
     if (it.upstream == settings_.upstream_endpoint) own_id_ = it.id;
   }
-  if (own_id_.empty()) return;
-  if (!versions_.empty() &&
-      versions_.rbegin()->first >= update.target_weights_version) {
-    return;
+  if (!own_id_.empty()) {
+    AddTarget(update.target_weights_version,
+              Milliseconds(update.target_age_ms));
+  }
+  return true;
+}
+
+void WeightStager::ApplyTarget(uint64_t version, Milliseconds age) {
+  if (!update_) return;
+  if (version > update_->target_weights_version) {
+    update_->target_weights_version = version;
+    update_received_at_ = EventLoop::Now();
   }
-  versions_[update.target_weights_version].targeted_at =
-      now - Milliseconds(update.target_age_ms);
+  if (!own_id_.empty()) AddTarget(version, age);
+}
+
+void WeightStager::AddTarget(uint64_t version, Milliseconds age) {
+  if (!versions_.empty() && versions_.rbegin()->first >= version) return;
+  versions_[version].targeted_at = EventLoop::Now() - age;
   Advance();
 }
 
--- a/Source/Core/Agent/weight_stager.h
+++ b/Source/Core/Agent/weight_stager.h
@@ -32,8 +32,10 @@
   ~WeightStager();
 
   /// Applies a deployment update from a router unless it is older than the
-  /// current one.
-  void ApplyUpdate(const DeploymentUpdate& update);
+  /// current one; returns whether it did.
+  bool ApplyUpdate(const DeploymentUpdate& update);
+  /// Applies a target version that a router has announced ahead of its update.
+  void ApplyTarget(uint64_t version, Milliseconds age);
   /// Applies the engine's newest status and acts on it.
   void OnEngineStatus(const EngineStatus& status);
   /// Handles a peer's request for chunks or a manifest.
@@ -65,6 +67,7 @@
   };
 
   Milliseconds TargetAge(const VersionState& target) const;
+  void AddTarget(uint64_t version, Milliseconds age);
   void StartTransfer(uint64_t version, VersionState* target);
   void Advance();
   void StartNewestTransfer();
--- a/Source/Core/Fleet/fleet_messages.cc
+++ b/Source/Core/Fleet/fleet_messages.cc
@@ -2,6 +2,8 @@
 
 #include <msgpack.hpp>
 
+#include "Core/Common/digest.h"
+
 namespace primrosecove {
 namespace {
 
@@ -13,6 +15,8 @@
 constexpr char kLossReportTag = 'm';
 constexpr char kRateLimitReportTag = 'r';
 constexpr char kRateLimitSummaryTag = 's';
+constexpr char kDeploymentDigestTag = 'h';
+constexpr char kDeploymentRequestTag = 'q';
 constexpr double kNoRateLimit = -1;  // On the wire.
 
 struct EndpointWire {
@@ -140,6 +144,22 @@
   MSGPACK_DEFINE_ARRAY(entries);
 };
 
+struct DeploymentDigestWire {
+  uint64_t digest = 0;
+  std::string service;
+  std::string zone;
+  uint64_t target_weights_version = 0;
+  uint64_t target_age_ms = 0;
+  uint32_t store_age_ms = 0;
+  MSGPACK_DEFINE_ARRAY(digest, service, zone, target_weights_version,
+                       target_age_ms, store_age_ms);
+};
+
+struct DeploymentRequestWire {
+  std::string service;
+  MSGPACK_DEFINE_ARRAY(service);
+};
+
 EndpointWire ToWire(const Endpoint& it) { return {it.ip, it.port}; }
 Endpoint FromWire(const EndpointWire& it) { return {it.ip, it.port}; }
 
@@ -300,6 +320,24 @@
   return out;
 }
 
+DeploymentDigestWire ToWire(const DeploymentDigest& it) {
+  return {it.digest,        it.service,     it.zone, it.target_weights_version,
+          it.target_age_ms, it.store_age_ms};
+}
+
+DeploymentDigest FromWire(const DeploymentDigestWire& it) {
+  return {it.digest,        it.service,     it.zone, it.target_weights_version,
+          it.target_age_ms, it.store_age_ms};
+}
+
+DeploymentRequestWire ToWire(const DeploymentRequest& it) {
+  return {it.service};
+}
+
+DeploymentRequest FromWire(const DeploymentRequestWire& it) {
+  return {it.service};
+}
+
 constexpr uint32_t kDeploymentUpdateFields = 11;
 constexpr uint32_t kStatusFields = 13;
 constexpr uint32_t kCrashReportFields = 1;
@@ -307,6 +345,8 @@
 constexpr uint32_t kLossReportFields = 1;
 constexpr uint32_t kRateLimitReportFields = 2;
 constexpr uint32_t kRateLimitSummaryFields = 1;
+constexpr uint32_t kDeploymentDigestFields = 6;
+constexpr uint32_t kDeploymentRequestFields = 1;
 
 template <typename Wire>
 FleetMessage Unpack(std::string_view bytes, uint32_t field_count) {
@@ -322,10 +362,10 @@
 }  // namespace
 
 std::string EncodeMessage(const FleetMessage& message) {
-  static constexpr char kTags[] = {kDeploymentUpdateTag, kStatusTag,
-                                   kCrashReportTag,      kCrashDigestTag,
-                                   kLossReportTag,       kRateLimitReportTag,
-                                   kRateLimitSummaryTag};
+  static constexpr char kTags[] = {
+      kDeploymentUpdateTag, kStatusTag,           kCrashReportTag,
+      kCrashDigestTag,      kLossReportTag,       kRateLimitReportTag,
+      kRateLimitSummaryTag, kDeploymentDigestTag, kDeploymentRequestTag};
   msgpack::sbuffer buf;
   std::visit([&buf](const auto& it) { msgpack::pack(buf, ToWire(it)); },
              message);
@@ -333,6 +373,13 @@
   return out.append(buf.data(), buf.size());
 }
 
+uint64_t DigestOf(const DeploymentUpdate& update) {
+  DeploymentUpdate content = update;
+  content.store_revision = 0;
+  content.target_age_ms = 0;
+  return Sha256(EncodeMessage(content)).Prefix64();
+}
+
 Result<FleetMessage> DecodeMessage(std::string_view datagram) {
   // The library reports errors by exceptions; this function catches them.
   try {
@@ -360,6 +407,14 @@
       return Unpack<RateLimitSummaryWire>(datagram.substr(1),
                                           kRateLimitSummaryFields);
     }
+    if (datagram.starts_with(kDeploymentDigestTag)) {
+      return Unpack<DeploymentDigestWire>(datagram.substr(1),
+                                          kDeploymentDigestFields);
+    }
+    if (datagram.starts_with(kDeploymentRequestTag)) {
+      return Unpack<DeploymentRequestWire>(datagram.substr(1),
+                                           kDeploymentRequestFields);
+    }
   } catch (const std::exception& e) {
     return Fail(ErrorCode::kInvalidArgument,
                 std::string("malformed datagram: ") + e.what());
--- a/Source/Core/Fleet/fleet_messages.h
+++ b/Source/Core/Fleet/fleet_messages.h
@@ -23,8 +23,8 @@
   bool leaving = false;
 };
 
-/// Sent by a router to each agent: the deployment as read from the store, so
-/// that agents need no connection to the store.
+/// Sent by a router to an agent on request: the deployment as read from the
+/// store, so that agents need no connection to the store.
 struct DeploymentUpdate {
   uint64_t store_revision = 0;  ///< Orders the updates of several routers.
   std::string service;
@@ -39,7 +39,23 @@
   std::vector<FleetMember> members;
 };
 
-/// Sent by an agent to each router that it receives updates from: state of its
+/// Sent by a router to each agent, periodically and on changes: what a
+/// deployment update of it would contain.
+struct DeploymentDigest {
+  uint64_t digest = 0;  ///< See DigestOf().
+  std::string service;
+  std::string zone;  ///< Of the router.
+  uint64_t target_weights_version = 0;
+  uint64_t target_age_ms = 0;
+  uint32_t store_age_ms = 0;  ///< Since the router has read the store.
+};
+
+/// Sent by an agent to a router that it wants a deployment update from.
+struct DeploymentRequest {
+  std::string service;
+};
+
+/// Sent by an agent to each router that it hears digests from: state of its
 /// engine, newer than the load that the engine itself publishes.
 struct UpstreamStatus {
   Endpoint upstream;
@@ -156,7 +172,12 @@
 
 using FleetMessage =
     std::variant<DeploymentUpdate, UpstreamStatus, CrashReport, CrashDigest,
-                 LossReport, RateLimitReport, RateLimitSummary>;
+                 LossReport, RateLimitReport, RateLimitSummary,
+                 DeploymentDigest, DeploymentRequest>;
+
+/// Digest of an update without its revision and ages, which differ between
+/// routers. Thread safe.
+uint64_t DigestOf(const DeploymentUpdate& update);
 
 /// Thread safe.
 std::string EncodeMessage(const FleetMessage& message);
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -17,9 +17,9 @@
 namespace primrosecove {
 namespace {
 
-// Interval at which deployment updates are sent even without a change. Agents
-// learn their peers from them, and a lost datagram is replaced by the next one.
-constexpr Milliseconds kUpdatePeriod{1000};
+// Interval at which digests of the deployment are sent even without a change. A
+// lost datagram is replaced by the next one.
+constexpr Milliseconds kDigestPeriod{1000};
 // Requests on a lost upstream are detected and retried at this interval.
 constexpr Milliseconds kRequestCheckPeriod{100};
 // A longer time between two checks shows that this process has been stopped or
@@ -149,8 +149,8 @@
   watcher_ = std::make_unique<DeploymentWatcher>(
       loop_, source_.get(), settings.bounds.revoke, std::move(events));
   watcher_->Start();
-  update_timer_ =
-      loop_->Every(kUpdatePeriod, [this] { SendDeploymentUpdates(); });
+  deployment_digest_timer_ =
+      loop_->Every(kDigestPeriod, [this] { SendDeploymentDigests(true); });
   crash_digest_timer_ =
       loop_->Every(kCrashDigestPeriod, [this] { SendCrashDigest(); });
   rate_limit_report_timer_ = loop_->Every(
@@ -215,7 +215,7 @@
     if (target->version > state_.minimum_versions.NewestTarget(target->model)) {
       PC_INFO(kRollout, "event=version_named model="
                             << target->model << " version=" << target->version);
-      update_due_ = true;
+      remote_update_due_ = true;
     }
     state_.minimum_versions.SetTarget(target->model, target->version,
                                       !initial_read_done_, now);
@@ -236,7 +236,7 @@
   state_.routes = std::make_shared<const RouteTable>(config);
   caller_server_->SetLimits(
       MakeCallerServerLimits(config.limits, state_.settings));
-  update_due_ = true;
+  remote_update_due_ = true;
   PC_INFO(kConfig, "event=config_in_force version="
                        << config.version << " before=" << version
                        << " routes=" << config.routes.size()
@@ -246,8 +246,8 @@
 void FleetRouter::OnSynced(BootTime requested_at, uint64_t) {
   initial_read_done_ = true;
   if (state_.routes != nullptr) state_.freshness.Confirm(requested_at);
-  if (!update_due_) return;
-  SendDeploymentUpdates();
+  if (update_due_ || remote_update_due_)
+    SendDeploymentDigests(remote_update_due_);
 }
 
 void FleetRouter::OnStoreReachable(bool reachable) {
@@ -284,6 +284,8 @@
     }
     return;
   }
+  if (const auto* request = std::get_if<DeploymentRequest>(&message.value()))
+    return SendDeploymentUpdate(*request, from);
   const auto* status = std::get_if<UpstreamStatus>(&message.value());
   if (status == nullptr) return;
   state_.registry.RecordStatus(*status, state_.Now());
@@ -331,12 +333,34 @@
   return out;
 }
 
-void FleetRouter::SendDeploymentUpdates() {
+void FleetRouter::SendDeploymentUpdate(const DeploymentRequest& request,
+                                       const Endpoint& to) {
+  if (state_.routes == nullptr) return;
+  for (const DeploymentUpdate& it : MakeDeploymentUpdates()) {
+    if (it.service == request.service)
+      peer_socket_->Send(EncodeMessage(it), to);
+  }
+}
+
+// Agents request the deployment from a router of their own zone, so those in
+// other zones need no digest for each change of a member.
+void FleetRouter::SendDeploymentDigests(bool to_all_zones) {
   update_due_ = false;
+  if (to_all_zones) remote_update_due_ = false;
   if (state_.routes == nullptr) return;
+  auto store_age = state_.freshness.Age(BootNow());
   for (const DeploymentUpdate& update : MakeDeploymentUpdates()) {
-    std::string datagram = EncodeMessage(update);
+    DeploymentDigest digest;
+    digest.digest = DigestOf(update);
+    digest.service = update.service;
+    digest.zone = state_.settings.zone;
+    digest.target_weights_version = update.target_weights_version;
+    digest.target_age_ms = update.target_age_ms;
+    digest.store_age_ms =
+        store_age ? static_cast<uint32_t>(store_age->count()) : UINT32_MAX;
+    std::string datagram = EncodeMessage(digest);
     for (const FleetMember& member : update.members) {
+      if (!to_all_zones && member.zone != state_.settings.zone) continue;
       peer_socket_->Send(datagram,
                          PeerEndpoint(state_.settings, member.upstream.ip));
     }
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -64,7 +64,9 @@
   void OnSynced(BootTime requested_at, uint64_t revision);
   void OnStoreReachable(bool reachable);
   void HandleDatagram(std::string_view bytes, const Endpoint& from);
-  void SendDeploymentUpdates();
+  void SendDeploymentDigests(bool to_all_zones);
+  void SendDeploymentUpdate(const DeploymentRequest& request,
+                            const Endpoint& to);
   std::vector<DeploymentUpdate> MakeDeploymentUpdates();
   void CheckRequests();
   void ExcuseOwnStall(MonotonicTime now);
@@ -87,14 +89,15 @@
   std::unique_ptr<Http1Server> metrics_server_;
   std::unique_ptr<UdpSocket> peer_socket_;
   bool initial_read_done_ = false;
-  bool update_due_ = false;
+  bool update_due_ = false;         ///< For the agents of the own zone.
+  bool remote_update_due_ = false;  ///< For all agents.
   bool was_ready_ = false;
   MonotonicTime last_store_return_{0};
   std::optional<MonotonicTime> store_reachable_since_{MonotonicTime(0)};
   MonotonicTime stop_started_at_{0};
   MonotonicTime last_busy_at_{
       0};  ///< Last time with unfinished responses while stopping.
-  Timer update_timer_;
+  Timer deployment_digest_timer_;
   Timer crash_digest_timer_;
   Timer rate_limit_report_timer_;
   Timer rate_limit_log_timer_;
