Record no crash for an upstream that the store has lost while it lives

The upstream still leaves service, as the store's contract has it; a crash is recorded only without a fresh status of the same process or a recent success.

--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -20,6 +20,8 @@
 constexpr Milliseconds kEjectionTime{1500};
 // An engine with running requests sends events several times a second.
 constexpr Milliseconds kMaxQuietTime{400};
+// A registration outlives a crash by more than this.
+constexpr Milliseconds kRecentSuccess{500};
 // Registrations without a start time are in the order in which they are seen,
 // unless one read of the store may have returned both.
 constexpr Milliseconds kMaxReadTime{300};
@@ -108,9 +110,7 @@
                            << change.id << " settled=" << settled << " why=\""
                            << change.unusable_reason << "\"");
   if (settled || it->second.IsLeaving()) {
-    if (!it->second.IsLeaving()) {
-      RecordCrash(it->second, CrashEvidence::kRegistrationEnded);
-    }
+    RecordRegistrationEnd(it->second, now);
     upstreams_.erase(it);
   } else {
     it->second.registration_expires_at = expires_at;
@@ -304,6 +304,26 @@
   upstream->load_reported_at = now;
 }
 
+void UpstreamRegistry::RecordRegistrationEnd(const FleetUpstream& upstream,
+                                             MonotonicTime now) {
+  if (upstream.IsLeaving()) return;
+  // An upstream that the store has lost while it answers has not crashed: its
+  // writes are lost on the way, or another process writes its entry.
+  bool same_process =
+      upstream.status && upstream.record.start_time_ms != 0 &&
+      upstream.status->start_time_ms == upstream.record.start_time_ms;
+  bool lives_by_agent = same_process && upstream.status->reachable &&
+                        upstream.status->responding &&
+                        now - upstream.status_received_at < kStatusLifetime;
+  bool lives_by_requests = now - upstream.last_success < kRecentSuccess;
+  if (!lives_by_agent && !lives_by_requests)
+    return RecordCrash(upstream, CrashEvidence::kRegistrationEnded);
+  PC_INFO(kMembership, "event=upstream_lost_by_store id="
+                           << upstream.record.id
+                           << " lives_by_agent=" << lives_by_agent
+                           << " lives_by_requests=" << lives_by_requests);
+}
+
 void UpstreamRegistry::RecordCrash(const FleetUpstream& upstream,
                                    CrashEvidence evidence) {
   static constexpr const char* kNames[] = {
@@ -327,8 +347,7 @@
                    now >= *it.second.registration_expires_at;
     if (expired) {
       PC_INFO(kMembership, "event=upstream_expired id=" << it.first);
-      if (!it.second.IsLeaving())
-        RecordCrash(it.second, CrashEvidence::kRegistrationEnded);
+      RecordRegistrationEnd(it.second, now);
     }
     return expired;
   });
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -157,6 +157,8 @@
                                 const std::string& model, MonotonicTime now);
 
  private:
+  // Records a crash unless there is evidence that the process still runs.
+  void RecordRegistrationEnd(const FleetUpstream& upstream, MonotonicTime now);
   void RecordCrash(const FleetUpstream& upstream, CrashEvidence evidence);
   // Ends the ejection of an upstream that was only silent.
   static void EndSilentFailures(FleetUpstream* upstream, MonotonicTime now);
--- a/Source/UnitTests/Fleet/upstream_registry_test.cc
+++ b/Source/UnitTests/Fleet/upstream_registry_test.cc
@@ -57,6 +57,60 @@
   CHECK(registry.Usable("s", MonotonicTime(9000)).size() == 1);
 }
 
+// Guards against taking an upstream for crashed whose writes to the store are
+// lost: on a quiet day of 153 upstreams, 334 registrations of sound ones ended.
+TEST_CASE("an upstream that the store has lost is no crash while it lives") {
+  struct Row {
+    const char* name;
+    bool reachable;
+    bool responding;
+    int64_t start_time_ms;
+    int64_t status_at_ms;  // Registration ends at 5000.
+    int64_t success_at_ms;
+    bool crashed;
+  };
+  const Row rows[] = {
+      {"its agent reaches it", true, true, 70, 4800, 0, false},
+      {"its agent last reached it long ago", true, true, 70, 3000, 0, true},
+      {"its agent finds it silent", true, false, 70, 4800, 0, true},
+      {"its agent reaches another process", true, true, 71, 4800, 0, true},
+      {"it has just answered", true, false, 70, 4800, 4700, false},
+      {"it answered long ago", true, false, 70, 4800, 4000, true},
+  };
+  for (bool store_was_away : {false, true}) {
+    for (const Row& row : rows) {
+      INFO(row.name << ", after an outage of the store: " << store_was_away);
+      MonotonicTime reachable_since(store_was_away ? 4000 : -9000);
+      UpstreamRegistry registry;
+      UpstreamChange change = Registered("a");
+      change.record->start_time_ms = 70;
+      registry.Apply(change, reachable_since, MonotonicTime(0));
+      UpstreamStatus status;
+      status.upstream = change.record->endpoint;
+      status.sequence = 1;
+      status.reachable = row.reachable;
+      status.responding = row.responding;
+      status.start_time_ms = row.start_time_ms;
+      registry.RecordStatus(status, MonotonicTime(row.status_at_ms));
+      if (row.success_at_ms != 0) {
+        registry.OnSent("a", MonotonicTime(row.success_at_ms - 100));
+        registry.OnEnded("a", true, MonotonicTime(row.success_at_ms));
+      }
+      registry.PopCrashes();
+      registry.Apply({"a", std::nullopt, ""}, reachable_since,
+                     MonotonicTime(5000));
+      if (store_was_away) {
+        CHECK(registry.Find("a") != nullptr);
+        registry.Expire(MonotonicTime(5800));
+        CHECK(registry.Find("a") == nullptr);
+        continue;
+      }
+      CHECK(registry.Find("a") == nullptr);
+      CHECK(registry.PopCrashes().empty() != row.crashed);
+    }
+  }
+}
+
 TEST_CASE("registrations that one read returns do not replace each other") {
   UpstreamRegistry registry;
   registry.Apply(Registered("a"), MonotonicTime(-9000), MonotonicTime(0));
