Test that silence ends a call and slowness does not

Guards the limits of transfers from the origin and from peers: twenty bytes that take twice the stall timeout arrive whole, silence after the head ends the call, and so does data now and then beyond the limit of the whole call.

--- a/Source/UnitTests/Net/http1_test.cc
+++ b/Source/UnitTests/Net/http1_test.cc
@@ -159,6 +159,44 @@
   }
 }
 
+// Guards against ending a slow but sound transfer, and against waiting for ever
+// for one that is silent or sends a byte now and then.
+TEST_CASE("silence or the whole limit ends a call, slowness does not",
+          "[http1]") {
+  struct Row {
+    const char* name;
+    std::string repeated;
+    Milliseconds timeout;
+    CallEnd end;
+  };
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n";
+  const Row rows[] = {
+      {"slow data", "x", Milliseconds(30'000), CallEnd::kComplete},
+      {"silence after the head", "", Milliseconds(30'000), CallEnd::kTimeout},
+      {"data now and then beyond the whole limit", "x", Milliseconds(100),
+       CallEnd::kTimeout},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    EventLoop loop;
+    Http1Client client(&loop);
+    RawServer server(&loop, TestEndpoint(95, 1));
+    // Twenty bytes take twice the stall timeout.
+    server.Add(
+        {head, RawServer::End::kKeepOpen, row.repeated, Milliseconds(50)});
+    CallOptions options;
+    options.timeout = row.timeout;
+    options.stall_timeout = Milliseconds(500);
+    std::optional<CallResult> result;
+    CallEvents events;
+    events.on_end = [&](CallResult it) { result = std::move(it); };
+    auto call = client.Send(TestEndpoint(95, 1), HttpRequest(), options,
+                            std::move(events));
+    RunUntil(&loop, [&] { return result.has_value(); });
+    CHECK(result->end == row.end);
+  }
+}
+
 TEST_CASE("a connection with unread bytes is not reused", "[http1]") {
   struct Row {
     const char* name;
