--- a/Source/Core/Fleet/chunk_planner.h
+++ b/Source/Core/Fleet/chunk_planner.h
@@ -41,7 +41,7 @@
 /// become overdue while the origin is unavailable.
 ///
 /// At most kMaxOriginFetchers members connect to the origin, and a chunk has at
-/// most kMaxRemotePeers sources in other zones, whatever the size of the fleet.
+/// most kMaxRemotePeers sources in other zones, at any size of the fleet.
 /// Thread safe after construction.
 class ChunkPlanner {
  public:
