Log the relays of a router and reproduce a limit that is exceeded by split views

The choice of relays moves from FleetRouter into a module that the simulation uses as well; its logic is unchanged. A change of the choice is logged and counted.

--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -31,9 +31,6 @@
 // Interval at which the use of rate limits is logged.
 constexpr Milliseconds kRateLimitLogPeriod{1000};
 constexpr Milliseconds kStopCheckPeriod{50};
-// Number of agents that keep and forward what routers report to each other;
-// more than one of them may be down or unreachable.
-constexpr size_t kRelays = 4;
 // Interval at which crash observations are compared with the agents'. A process
 // that restarted or lost reports lacks them for this long.
 constexpr Milliseconds kCrashDigestPeriod{1000};
@@ -411,8 +408,10 @@
 }
 
 void FleetRouter::SendToRelays(const FleetMessage& message, MonotonicTime now) {
+  relay_choice_.Update(state_.registry, now);
   std::string datagram = EncodeMessage(message);
-  for (const Endpoint& it : Relays(now)) peer_socket_->Send(datagram, it);
+  for (const std::string& ip : relay_choice_.relays())
+    peer_socket_->Send(datagram, PeerEndpoint(state_.settings, ip));
 }
 
 void FleetRouter::ReportRateLimits(MonotonicTime now) {
@@ -420,20 +419,6 @@
     SendToRelays(it, now);
 }
 
-// The first agents in the order of their upstreams' ids, so that all routers
-// use the same ones.
-std::vector<Endpoint> FleetRouter::Relays(MonotonicTime now) const {
-  std::vector<Endpoint> out;
-  for (const auto& [id, upstream] : state_.registry.all()) {
-    bool has_agent = upstream.status && now - upstream.status_received_at <
-                                            UpstreamRegistry::kStatusLifetime;
-    if (!has_agent) continue;
-    out.push_back(PeerEndpoint(state_.settings, upstream.record.endpoint.ip));
-    if (out.size() == kRelays) break;
-  }
-  return out;
-}
-
 void FleetRouter::SendCrashDigest() {
   MonotonicTime now = state_.Now();
   SendToRelays(
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -9,6 +9,7 @@
 #include "Core/Fleet/deployment_watcher.h"
 #include "Core/Fleet/fleet_messages.h"
 #include "Core/Fleet/fleet_ports.h"
+#include "Core/Fleet/relay_choice.h"
 #include "Core/Net/http1_server.h"
 #include "Core/Net/udp_socket.h"
 #include "Core/Router/fleet_state.h"
@@ -71,7 +72,6 @@
   void CheckRequests();
   void ExcuseOwnStall(MonotonicTime now);
   void ReportCrashes(MonotonicTime now);
-  std::vector<Endpoint> Relays(MonotonicTime now) const;
   void SendToRelays(const FleetMessage& message, MonotonicTime now);
   void SendCrashDigest();
   void ReportRateLimits(MonotonicTime now);
@@ -88,6 +88,7 @@
   std::unique_ptr<Http1Server> readiness_server_;
   std::unique_ptr<Http1Server> metrics_server_;
   std::unique_ptr<UdpSocket> peer_socket_;
+  RelayChoice relay_choice_;
   bool initial_read_done_ = false;
   bool update_due_ = false;         ///< For the agents of the own zone.
   bool remote_update_due_ = false;  ///< For all agents.
--- a/Source/Core/Router/fleet_router_metrics.cc
+++ b/Source/Core/Router/fleet_router_metrics.cc
@@ -151,6 +151,10 @@
                     "Upstreams that rest or have just rested", {}, [this] {
                       return static_cast<double>(state_.rests.size());
                     });
+  metrics_.AddCounter(
+      "primrosecove_router_relay_changes_total",
+      "Changes of the agents that this router reports to", {},
+      [this] { return static_cast<double>(relay_choice_.changes()); });
   metrics_.AddGauge("primrosecove_router_rate_limited_upstreams",
                     "Upstreams with a rate limit", {}, [this] {
                       return static_cast<double>(state_.rate_limits.size());
--- a/Source/UnitTests/Membership/rate_limit_sharing_test.cc
+++ b/Source/UnitTests/Membership/rate_limit_sharing_test.cc
@@ -2,7 +2,10 @@
 // simulation without network: routers restart, are cut off from the relays or
 // suspended, their clocks are stepped, datagrams are lost, and the requests are
 // many, few, unevenly spread or in bursts.
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <random>
+#include <span>
 #include <vector>
 
 #include "rate_limit_simulation.h"
@@ -134,7 +137,7 @@
        .limit = 10,
        .demand_per_limit = 10,
        .min_use = 0.6,
-       .relays = 0},
+       .agents = 0},
   };
   for (size_t routers : {5, 16}) {
     for (double limit : {0.5, 1.0, 4.0, 20.0}) {
@@ -154,6 +157,69 @@
   return out;
 }
 
+// The trouble during which the routers' views differ.
+bool IsViewTrouble(MonotonicTime now) {
+  return now >= MonotonicTime(15'000) && now < MonotonicTime(40'000);
+}
+
+// A number that looks random, and is equal for the same arguments.
+size_t Draw(size_t router, size_t agent, int64_t period) {
+  std::seed_seq seed{router, agent, static_cast<size_t>(period)};
+  return std::mt19937(seed)();
+}
+
+// Routers that know different agents, as when the store turns some of them away
+// while upstreams are added, replaced or lost.
+std::vector<RateLimitScenario> SplitViews() {
+  struct View {
+    const char* name;
+    KnowsAgent knows;
+    size_t late_agents = 0;
+  };
+  constexpr View kViews[] = {
+      {"a third of the routers does not know the agents that were added",
+       [](size_t router, size_t agent, MonotonicTime) {
+         return router % 3 != 0 || agent >= 4;
+       },
+       4},
+      {"half of the routers has lost the oldest agents",
+       [](size_t router, size_t agent, MonotonicTime now) {
+         return router % 2 == 0 || agent >= 4 || !IsViewTrouble(now);
+       }},
+      {"half of the routers knows no agent but those that were added",
+       [](size_t router, size_t agent, MonotonicTime now) {
+         return router % 2 == 0 || agent < 4 || !IsViewTrouble(now);
+       },
+       4},
+      {"each router loses some agents and finds others",
+       [](size_t router, size_t agent, MonotonicTime now) {
+         return Draw(router, agent, now.count() / 5000) % 4 != 0;
+       }},
+      {"agents are replaced one after another",
+       [](size_t router, size_t agent, MonotonicTime now) {
+         auto delay = Milliseconds(Draw(router, agent, 0) % 2000);
+         int64_t replaced = ((now - delay).count() - 15'000) / 4000;
+         auto first = static_cast<size_t>(std::clamp<int64_t>(replaced, 0, 6));
+         return agent >= first && agent < first + 6;
+       }},
+  };
+  std::vector<RateLimitScenario> out;
+  for (const View& view : kViews) {
+    for (size_t routers : {5, 16}) {
+      for (double limit : {0.5, 2.0, 5.0, 20.0}) {
+        out.push_back({.name = view.name,
+                       .routers = routers,
+                       .limit = limit,
+                       .demand_per_limit = 20,
+                       .agents = 12,
+                       .knows = view.knows,
+                       .late_agents = view.late_agents});
+      }
+    }
+  }
+  return out;
+}
+
 void CheckRateLimit(const RateLimitScenario& scenario, uint64_t seed) {
   CAPTURE(scenario.name, scenario.routers, scenario.limit, seed);
   RateLimitSimulation simulation(scenario, seed);
@@ -202,8 +268,16 @@
      [](RateLimitScenario* it) { it->silences = Milliseconds(6000); }},
 };
 
-void CheckInterruptions(uint64_t seeds) {
-  for (const Trouble& trouble : kInterruptions) {
+// Guards against a limit that ends because an entry of another writer gives its
+// process a later start time for a while.
+constexpr Trouble kForeignEntries[] = {
+    {"another writer gives a later start time",
+     [](RateLimitScenario* it) { it->foreign_entries = Milliseconds(8000); }},
+};
+
+// Runs each trouble with few and many routers, at low and high limits.
+void CheckTroubles(std::span<const Trouble> troubles, uint64_t seeds) {
+  for (const Trouble& trouble : troubles) {
     for (size_t routers : {4, 16}) {
       for (double limit : {0.5, 2.0, 5.0, 20.0}) {
         RateLimitScenario scenario{.name = trouble.name,
@@ -218,15 +292,28 @@
   }
 }
 
+// Guards against routers that use different relays, because they know different
+// agents, and each divide the whole limit among those that they hear of.
+TEST_CASE("routers that know different agents keep a rate limit together",
+          "[.split-views]") {
+  for (const RateLimitScenario& scenario : SplitViews()) {
+    for (uint64_t seed = 1; seed <= 5; ++seed) CheckRateLimit(scenario, seed);
+  }
+}
+
 // Guards against a limit, or its division, that is forgotten with the
 // registration, by one response without it, or while there are no requests.
 TEST_CASE("a rate limit outlasts interruptions", "[interruptions]") {
-  CheckInterruptions(5);
+  CheckTroubles(kInterruptions, 5);
+}
+
+TEST_CASE("a rate limit outlasts a foreign start time", "[.foreign-entries]") {
+  CheckTroubles(kForeignEntries, 5);
 }
 
 // Hidden: runs by hand only, for some minutes.
 TEST_CASE("a rate limit outlasts interruptions, many seeds", "[.long]") {
-  CheckInterruptions(200);
+  CheckTroubles(kInterruptions, 200);
 }
 
 // Hidden: runs by hand only, for some minutes.
--- a/Source/UnitTests/Membership/rate_limit_simulation.cc
+++ b/Source/UnitTests/Membership/rate_limit_simulation.cc
@@ -25,6 +25,17 @@
 constexpr MonotonicTime kStoreReachableSince{-60'000};
 
 const Endpoint kUpstreamEndpoint{"10.0.1.1", 80};
+constexpr MonotonicTime kLateAgentStart{15'000};
+constexpr Milliseconds kStatusPeriod{500};
+
+// Agents and the upstreams beside them, in the order of their ids.
+std::string AgentId(size_t agent) {
+  return "engine-" + std::to_string(100 + agent);
+}
+
+Endpoint AgentEndpoint(size_t agent) {
+  return {"10.0.2." + std::to_string(1 + agent), 80};
+}
 
 }  // namespace
 
@@ -33,9 +44,10 @@
     : scenario_(scenario),
       random_(seed),
       routers_(scenario.routers),
-      relays_(scenario.relays) {
+      relays_(scenario.agents) {
   for (size_t n = 0; n < routers_.size(); ++n) StartRouter(n);
   for (size_t n = 0; n < routers_.size(); ++n) {
+    At(RandomTime(kStatusPeriod.count()), [this, n] { UpdateView(n); });
     At(RandomTime(500), [this, n] { SendReports(n); });
     At(RandomTime(100), [this, n] { Tick(n); });
     At(RandomTime(1000), [this, n] { UpdateLimits(n); });
@@ -66,6 +78,7 @@
     if (!relays_.empty()) relays_[Random(relays_.size())] = RateLimitRelay();
   });
   Repeat(scenario_.lapses, [this] { LapseRegistration(); });
+  Repeat(scenario_.foreign_entries, [this] { WriteForeignEntry(); });
   Repeat(scenario_.silences, [this] { Silence(); });
 }
 
@@ -125,6 +138,7 @@
   routers_[n].registry = std::make_unique<UpstreamRegistry>();
   routers_[n].limits = std::make_unique<UpstreamRateLimits>(1000 + n);
   routers_[n].limits->SetRouterCount(static_cast<int>(routers_.size()), now_);
+  routers_[n].relay_choice = RelayChoice();
   Register(n);
 }
 
@@ -145,15 +159,42 @@
   return kUnixStartMs + (now_ + step).count();
 }
 
+bool RateLimitSimulation::Knows(size_t n, size_t agent) const {
+  if (agent < scenario_.late_agents && now_ < kLateAgentStart) return false;
+  return scenario_.knows == nullptr || scenario_.knows(n, agent, now_);
+}
+
+void RateLimitSimulation::UpdateView(size_t n) {
+  UpstreamRegistry& registry = *routers_[n].registry;
+  for (size_t agent = 0; agent < relays_.size(); ++agent) {
+    UpstreamChange change;
+    change.id = AgentId(agent);
+    if (!Knows(n, agent)) {
+      registry.Apply(change, kStoreReachableSince, now_);
+      continue;
+    }
+    bool is_late = agent < scenario_.late_agents;
+    UpstreamStatus status;
+    status.upstream = AgentEndpoint(agent);
+    status.sequence = static_cast<uint64_t>(now_.count());
+    status.start_time_ms =
+        kStartTimeMs + (is_late ? kLateAgentStart.count() : 0);
+    status.reachable = true;
+    if (registry.Find(change.id) == nullptr) {
+      change.record.emplace();
+      change.record->id = change.id;
+      change.record->service = "engines";
+      change.record->endpoint = status.upstream;
+      change.record->start_time_ms = status.start_time_ms;
+      registry.Apply(change, kStoreReachableSince, now_);
+    }
+    registry.RecordStatus(status, now_);
+  }
+  At(now_ + kStatusPeriod, [this, n] { UpdateView(n); });
+}
+
 void RateLimitSimulation::Register(size_t n) {
-  UpstreamChange change;
-  change.id = "a";
-  change.record.emplace();
-  change.record->id = "a";
-  change.record->service = "s";
-  change.record->endpoint = kUpstreamEndpoint;
-  change.record->start_time_ms = scenario_.status_delay ? 0 : kStartTimeMs;
-  routers_[n].registry->Apply(change, kStoreReachableSince, now_);
+  WriteEntry(n, scenario_.status_delay ? 0 : kStartTimeMs);
   if (!scenario_.status_delay) return;
   At(now_ + *scenario_.status_delay + RandomTime(kMaxWatchLagMs), [this, n] {
     UpstreamStatus status;
@@ -164,6 +205,17 @@
   });
 }
 
+void RateLimitSimulation::WriteEntry(size_t n, int64_t start_time_ms) {
+  UpstreamChange change;
+  change.id = "a";
+  change.record.emplace();
+  change.record->id = "a";
+  change.record->service = "s";
+  change.record->endpoint = kUpstreamEndpoint;
+  change.record->start_time_ms = start_time_ms;
+  routers_[n].registry->Apply(change, kStoreReachableSince, now_);
+}
+
 void RateLimitSimulation::Unregister(size_t n) {
   UpstreamChange change;
   change.id = "a";
@@ -181,6 +233,17 @@
   }
 }
 
+void RateLimitSimulation::WriteForeignEntry() {
+  if (now_ >= kLimitEnd - scenario_.lapse_time) return;
+  int64_t start_time_ms = kStartTimeMs + now_.count();
+  for (size_t n = 0; n < routers_.size(); ++n) {
+    At(now_ + RandomTime(kMaxWatchLagMs),
+       [this, n, start_time_ms] { WriteEntry(n, start_time_ms); });
+    At(now_ + scenario_.lapse_time + RandomTime(kMaxWatchLagMs),
+       [this, n] { Register(n); });
+  }
+}
+
 void RateLimitSimulation::Silence() { silent_until_ = now_ + kSilenceTime; }
 
 void RateLimitSimulation::Carry(size_t n, std::function<void()> action) {
@@ -198,14 +261,20 @@
 }
 
 void RateLimitSimulation::ReportNow(size_t n) {
+  RelayChoice& choice = routers_[n].relay_choice;
+  choice.Update(*routers_[n].registry, now_);
   for (const auto& report : routers_[n].limits->MakeReports(now_)) {
     for (size_t relay = 0; relay < relays_.size(); ++relay) {
+      if (std::ranges::find(choice.relays(), AgentEndpoint(relay).ip) ==
+          choice.relays().end()) {
+        continue;
+      }
       Carry(n, [this, n, relay, report] {
         auto answer = relays_[relay].OnReport(report, now_.count());
         for (const auto& it : answer.to_sender) SendSummary(n, it);
         for (const auto& it : answer.to_others) {
           for (size_t i = 0; i < routers_.size(); ++i)
-            if (i != n) SendSummary(i, it);
+            if (i != n && Knows(i, relay)) SendSummary(i, it);
         }
       });
     }
--- a/Source/UnitTests/Membership/rate_limit_simulation.h
+++ b/Source/UnitTests/Membership/rate_limit_simulation.h
@@ -1,7 +1,8 @@
 // A simulation without network of routers that share the rate limit of one
 // upstream by way of relays. Routers restart, are cut off from the relays or
-// suspended, their clocks are stepped, datagrams are lost, the upstream's
-// registration lapses, it falls silent, and its responses lack the limit.
+// suspended, know different agents, their clocks are stepped, datagrams are
+// lost, the upstream's registration lapses, it falls silent, and its responses
+// lack the limit.
 #pragma once
 
 #include <deque>
@@ -12,6 +13,7 @@
 #include <random>
 #include <vector>
 
+#include "Core/Fleet/relay_choice.h"
 #include "Core/Fleet/upstream_rate_limits.h"
 #include "Core/Fleet/upstream_registry.h"
 #include "Core/Membership/rate_limit_relay.h"
@@ -20,9 +22,10 @@
 
 enum class RateLimitDemand { kEven, kOneRouter, kUneven, kBursts, kPauses };
 
-struct RateLimitScenario {
-  static constexpr size_t kRelays = 4;
+// Whether a router knows an agent and exchanges datagrams with it at a time.
+using KnowsAgent = bool (*)(size_t router, size_t agent, MonotonicTime now);
 
+struct RateLimitScenario {
   const char* name;
   size_t routers;
   double limit;             // Requests per second.
@@ -34,6 +37,9 @@
   Milliseconds relay_restarts{0};
   Milliseconds lapses{0};  // Of the upstream's registration.
   Milliseconds lapse_time{1500};
+  // Entries of another writer that give the upstream a later start time, until
+  // it writes its own again.
+  Milliseconds foreign_entries{0};
   Milliseconds silences{0};    // Of the upstream, for a second and a half.
   Milliseconds clock_step{0};  // Of each third router, for some seconds.
   // The registration has no start time, and the status with it arrives this
@@ -43,7 +49,11 @@
   int missing_limit_percent = 0;  // Of the responses while there is a limit.
   double limit_change = 0;        // Each response states up to this share less.
   double min_use = 0;             // Of the limit, while there is demand.
-  size_t relays = kRelays;
+  // Agents that routers may use as relays; `knows` is empty if all know all.
+  size_t agents = RelayChoice::kRelays;
+  KnowsAgent knows = nullptr;
+  // Agents that start in the middle of the run. Their ids are the first ones.
+  size_t late_agents = 0;
 };
 
 // One run of a scenario. The bound holds from kContactTime after the upstream
@@ -72,6 +82,7 @@
   struct Router {
     std::unique_ptr<UpstreamRegistry> registry;
     std::unique_ptr<UpstreamRateLimits> limits;
+    RelayChoice relay_choice;
     MonotonicTime disturbed_until{-60'000};
     MonotonicTime cut_until{0};
     MonotonicTime suspended_until{0};
@@ -93,10 +104,15 @@
   bool IsUp(size_t n) const { return now_ >= routers_[n].suspended_until; }
   bool IsLimited() const;
   int64_t UnixMs(size_t n) const;
+  bool Knows(size_t n, size_t agent) const;
+  // Updates what a router knows of the agents.
+  void UpdateView(size_t n);
   // Registers the upstream at a router, or ends its registration.
   void Register(size_t n);
+  void WriteEntry(size_t n, int64_t start_time_ms);
   void Unregister(size_t n);
   void LapseRegistration();
+  void WriteForeignEntry();
   void Silence();
   // Carries a datagram between a router and a relay.
   void Carry(size_t n, std::function<void()> action);
