Let routers that know different agents find a common relay

Callers saw an upstream get about twice the requests that its limit allows. A router reported to the first four agents, by id, that it knew.

Ruled out as sufficient: more relays, or an order that additions do not disturb, alone, since the oldest agents may be lost from some views only. Now a router chooses the agents of the oldest upstreams, which all routers have learned of, and an agent that is a relay tells the routers it hears, but that do not report to it, which then join it until no router has chosen it for two seconds. Crash reports take the same way. Reports have a new layout and tag: agents have to be updated before routers, as before.

--- a/Source/Core/Agent/fleet_agent.cc
+++ b/Source/Core/Agent/fleet_agent.cc
@@ -22,6 +22,9 @@
 // each gets one in kStatusResendPeriod.
 constexpr int64_t kRemoteStatusesPerSecond = 64;
 constexpr Milliseconds kLogFlushPeriod{200};
+// Interval at which an agent that is a relay tells the routers that do not
+// report to it.
+constexpr Milliseconds kAnnouncementPeriod{500};
 // A poll within the host takes a few milliseconds, or some tens of them if the
 // host is short of processor time.
 constexpr Milliseconds kMaxPollTime{300};
@@ -31,6 +34,12 @@
 constexpr Http1Server::Limits kPeerLimits = {.max_body_bytes = 64 << 10,
                                              .max_connections = 400};
 
+int64_t NowMs() {
+  return std::chrono::duration_cast<Milliseconds>(
+             EventLoop::Now().time_since_epoch())
+      .count();
+}
+
 }  // namespace
 
 FleetAgent::FleetAgent(EventLoop* loop, HostSettings settings)
@@ -113,6 +122,8 @@
   BOOST_OUTCOME_TRY(metrics_server_->Listen(MetricsEndpoint(settings_)));
   BOOST_OUTCOME_TRY(peer_socket_->Bind(PeerEndpoint(settings_, settings_.ip)));
   poll_timer_ = loop_->Every(kEnginePollPeriod, [this] { PollEngine(); });
+  announcement_timer_ =
+      loop_->Every(kAnnouncementPeriod, [this] { AnnounceRelay(); });
   log_timer_ = loop_->Every(kLogFlushPeriod, [] { FlushLogs(); });
   PC_INFO(kMain, "event=start role=agent name="
                      << settings_.name << " zone=" << settings_.zone
@@ -140,9 +151,7 @@
             "event=datagram_dropped why=\"" << message.error().message << "\"");
     return;
   }
-  int64_t now_ms = std::chrono::duration_cast<Milliseconds>(
-                       EventLoop::Now().time_since_epoch())
-                       .count();
+  int64_t now_ms = NowMs();
   if (const auto* report = std::get_if<CrashReport>(&message.value())) {
     for (const CrashReport& it : crash_relay_.OnReport(*report, now_ms))
       ForwardToRouters(EncodeMessage(it), from);
@@ -151,7 +160,8 @@
   if (std::holds_alternative<LossReport>(message.value()))
     return ForwardToRouters(bytes, from);
   if (const auto* report = std::get_if<RateLimitReport>(&message.value())) {
-    RateLimitRelay::Answer answer = rate_limit_relay_.OnReport(*report, now_ms);
+    RateLimitRelay::Answer answer =
+        rate_limit_relay_.OnReport(*report, from, now_ms);
     for (const RateLimitSummary& it : answer.to_sender)
       peer_socket_->Send(EncodeMessage(it), from);
     for (const RateLimitSummary& it : answer.to_others)
@@ -197,6 +207,19 @@
   }
 }
 
+// Routers that know other agents may have chosen other relays.
+void FleetAgent::AnnounceRelay() {
+  int64_t now_ms = NowMs();
+  for (const RateLimitSummary& it :
+       rate_limit_relay_.MakeAnnouncements(now_ms)) {
+    std::string datagram = EncodeMessage(it);
+    for (const auto& [router, heard] : routers_) {
+      if (!rate_limit_relay_.ReportsHere(router, now_ms))
+        peer_socket_->Send(datagram, router);
+    }
+  }
+}
+
 void FleetAgent::PollEngine() {
   if (poll_in_flight_) {
     if (status_.responding && EventLoop::Now() - poll_sent_at_ > kMaxPollTime) {
--- a/Source/Core/Agent/fleet_agent.h
+++ b/Source/Core/Agent/fleet_agent.h
@@ -32,6 +32,7 @@
   void OnDatagram(std::string_view bytes, const Endpoint& from);
   // Sends a datagram to all routers but the one that it came from.
   void ForwardToRouters(std::string_view datagram, const Endpoint& sender);
+  void AnnounceRelay();
   void PollEngine();
   void RecordResponding(bool responding);
   void OnEngineStatus(Result<EngineStatus> status);
@@ -65,6 +66,7 @@
   bool poll_in_flight_ = false;
   SteadyTime poll_sent_at_;
   Timer poll_timer_;
+  Timer announcement_timer_;
   Timer log_timer_;
 };
 
--- a/Source/Core/Fleet/fleet_messages.cc
+++ b/Source/Core/Fleet/fleet_messages.cc
@@ -13,7 +13,7 @@
 constexpr char kCrashReportTag = 'p';
 constexpr char kCrashDigestTag = 'd';
 constexpr char kLossReportTag = 'm';
-constexpr char kRateLimitReportTag = 'r';
+constexpr char kRateLimitReportTag = 'l';
 constexpr char kRateLimitSummaryTag = 's';
 constexpr char kDeploymentDigestTag = 'h';
 constexpr char kDeploymentRequestTag = 'q';
@@ -128,8 +128,9 @@
 
 struct RateLimitReportWire {
   uint64_t router_id = 0;
+  bool is_chosen = true;
   std::vector<RateLimitReportEntryWire> entries;
-  MSGPACK_DEFINE_ARRAY(router_id, entries);
+  MSGPACK_DEFINE_ARRAY(router_id, is_chosen, entries);
 };
 
 struct RateLimitSummaryEntryWire {
@@ -289,14 +290,14 @@
 }
 
 RateLimitReportWire ToWire(const RateLimitReport& it) {
-  RateLimitReportWire out{it.router_id, {}};
+  RateLimitReportWire out{it.router_id, it.is_chosen, {}};
   for (const RateLimitReportEntry& entry : it.entries)
     out.entries.push_back({ToWire(entry.statement), entry.wants_to_send});
   return out;
 }
 
 RateLimitReport FromWire(const RateLimitReportWire& it) {
-  RateLimitReport out{it.router_id, {}};
+  RateLimitReport out{it.router_id, it.is_chosen, {}};
   for (const RateLimitReportEntryWire& entry : it.entries)
     out.entries.push_back({FromWire(entry.statement), entry.wants_to_send});
   return out;
@@ -343,7 +344,7 @@
 constexpr uint32_t kCrashReportFields = 1;
 constexpr uint32_t kCrashDigestFields = 2;
 constexpr uint32_t kLossReportFields = 1;
-constexpr uint32_t kRateLimitReportFields = 2;
+constexpr uint32_t kRateLimitReportFields = 3;
 constexpr uint32_t kRateLimitSummaryFields = 1;
 constexpr uint32_t kDeploymentDigestFields = 6;
 constexpr uint32_t kDeploymentRequestFields = 1;
--- a/Source/Core/Fleet/fleet_messages.h
+++ b/Source/Core/Fleet/fleet_messages.h
@@ -151,6 +151,9 @@
   /// Entries that fit into a datagram that is not fragmented.
   static constexpr size_t kMaxEntries = 16;
   uint64_t router_id = 0;
+  /// The router has chosen this agent as its relay. Otherwise it reports here
+  /// because others have chosen it.
+  bool is_chosen = true;
   std::vector<RateLimitReportEntry> entries;
 };
 
@@ -163,7 +166,8 @@
   bool operator==(const RateLimitSummaryEntry&) const = default;
 };
 
-/// Sent by an agent to a router: the rate limits that all routers reported.
+/// Sent by an agent that is a relay: the rate limits that routers reported to
+/// it. Without entries, it tells routers with other relays to report to it too.
 struct RateLimitSummary {
   /// Entries that fit into a datagram that is not fragmented.
   static constexpr size_t kMaxEntries = 2;
--- a/Source/Core/Fleet/relay_choice.cc
+++ b/Source/Core/Fleet/relay_choice.cc
@@ -1,5 +1,7 @@
 #include "Core/Fleet/relay_choice.h"
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "Core/Common/log.h"
@@ -7,35 +9,65 @@
 namespace primrosecove {
 namespace {
 
-std::string Join(const std::vector<std::string>& items) {
+std::string ToText(const std::vector<RelayChoice::Relay>& relays) {
   std::string out;
-  for (const std::string& it : items) {
+  for (const RelayChoice::Relay& it : relays) {
     if (!out.empty()) out += ',';
-    out += it;
+    out += it.ip;
+    if (!it.is_chosen) out += "(joined)";
   }
   return out.empty() ? "none" : out;
 }
 
-}  // namespace
+// An unknown start sorts last.
+int64_t SortableStart(const FleetUpstream& upstream) {
+  int64_t start = upstream.StartTimeMs();
+  return start == 0 ? std::numeric_limits<int64_t>::max() : start;
+}
 
-void RelayChoice::Update(const UpstreamRegistry& registry, MonotonicTime now) {
-  std::vector<std::string> chosen;
-  size_t heard = 0;
-  // In the order of the upstreams' ids, so that all routers use the same ones.
+// Routers learn of new upstreams at different times, or not while the store
+// turns them away, but each of them has learned of the oldest ones.
+std::vector<const FleetUpstream*> FindAgents(const UpstreamRegistry& registry,
+                                             MonotonicTime now) {
+  std::vector<const FleetUpstream*> out;
   for (const auto& [id, upstream] : registry.all()) {
     bool has_agent = upstream.status && now - upstream.status_received_at <
                                             UpstreamRegistry::kStatusLifetime;
-    if (!has_agent) continue;
-    ++heard;
-    if (chosen.size() < kRelays) chosen.push_back(upstream.record.endpoint.ip);
+    if (has_agent) out.push_back(&upstream);
+  }
+  std::ranges::stable_sort(
+      out, {}, [](const FleetUpstream* it) { return SortableStart(*it); });
+  return out;
+}
+
+}  // namespace
+
+bool RelayChoice::Update(const UpstreamRegistry& registry, MonotonicTime now) {
+  std::erase_if(heard_at_, [now](const auto& it) {
+    return now - it.second > kJoinedLifetime;
+  });
+  auto agents = FindAgents(registry, now);
+  std::vector<Relay> relays;
+  for (const FleetUpstream* it : agents) {
+    if (relays.size() == kRelays) break;
+    relays.push_back({it->record.endpoint.ip, true});
+  }
+  for (const auto& [ip, at] : heard_at_) {
+    if (std::ranges::find(relays, ip, &Relay::ip) == relays.end())
+      relays.push_back({ip, false});
   }
-  if (chosen == relays_) return;
+  if (relays == relays_) return false;
   ++changes_;
   PC_INFO(kMembership,
-          "event=relays chosen=" << Join(chosen) << " before=" << Join(relays_)
-                                 << " heard=" << heard
-                                 << " known=" << registry.all().size());
-  relays_ = std::move(chosen);
+          "event=relays now=" << ToText(relays) << " before=" << ToText(relays_)
+                              << " heard=" << agents.size()
+                              << " known=" << registry.all().size());
+  relays_ = std::move(relays);
+  return true;
+}
+
+void RelayChoice::OnRelayMessage(const std::string& ip, MonotonicTime now) {
+  heard_at_[ip] = now;
 }
 
 }  // namespace primrosecove
--- a/Source/Core/Fleet/upstream_rate_limits.cc
+++ b/Source/Core/Fleet/upstream_rate_limits.cc
@@ -164,10 +164,10 @@
 std::vector<RateLimitReport> UpstreamRateLimits::MakeReports(
     MonotonicTime now) {
   has_news_ = false;
-  std::vector<RateLimitReport> out{{router_id_, {}}};
+  std::vector<RateLimitReport> out{{.router_id = router_id_}};
   for (const auto& [id, entry] : entries_) {
     if (out.back().entries.size() >= RateLimitReport::kMaxEntries)
-      out.push_back({router_id_, {}});
+      out.push_back({.router_id = router_id_});
     out.back().entries.push_back(
         {WriteStatement(entry.statement, now),
          now - entry.last_wanted_at <= kDemandLifetime});
--- a/Source/Core/Membership/rate_limit_relay.cc
+++ b/Source/Core/Membership/rate_limit_relay.cc
@@ -23,21 +23,48 @@
 }  // namespace
 
 RateLimitRelay::Answer RateLimitRelay::OnReport(const RateLimitReport& report,
+                                                const Endpoint& sender,
                                                 int64_t now_ms) {
   RemoveExpired(now_ms);
+  if (report.is_chosen) chosen_at_ms_ = now_ms;
+  reporters_[sender] = now_ms;
   for (const RateLimitReportEntry& it : report.entries)
     Merge(it, report.router_id, now_ms);
-  std::vector<RateLimitSummaryEntry> all;
+  // Without an answer, routers that have not chosen this agent leave it.
+  if (!IsChosen(now_ms)) return {};
   std::vector<RateLimitSummaryEntry> news;
   for (auto& [id, entry] : entries_) {
-    all.push_back(Summarize(entry, now_ms));
     bool is_due = now_ms - entry.news_sent_at_ms >= kMinNewsIntervalMs;
     if (!entry.has_news || !is_due) continue;
     entry.has_news = false;
     entry.news_sent_at_ms = now_ms;
-    news.push_back(all.back());
+    news.push_back(Summarize(entry, now_ms));
   }
-  return {Pack(std::move(all)), Pack(std::move(news))};
+  Answer out{SummarizeAll(now_ms), Pack(std::move(news))};
+  if (!report.is_chosen && out.to_sender.empty()) out.to_sender.emplace_back();
+  return out;
+}
+
+std::vector<RateLimitSummary> RateLimitRelay::SummarizeAll(
+    int64_t now_ms) const {
+  std::vector<RateLimitSummaryEntry> out;
+  for (const auto& [id, entry] : entries_)
+    out.push_back(Summarize(entry, now_ms));
+  return Pack(std::move(out));
+}
+
+std::vector<RateLimitSummary> RateLimitRelay::MakeAnnouncements(
+    int64_t now_ms) {
+  RemoveExpired(now_ms);
+  if (!IsChosen(now_ms)) return {};
+  auto out = SummarizeAll(now_ms);
+  if (out.empty()) out.emplace_back();
+  return out;
+}
+
+bool RateLimitRelay::ReportsHere(const Endpoint& router, int64_t now_ms) const {
+  auto it = reporters_.find(router);
+  return it != reporters_.end() && now_ms - it->second <= kReporterLifetimeMs;
 }
 
 void RateLimitRelay::Merge(const RateLimitReportEntry& reported,
@@ -70,6 +97,9 @@
 }
 
 void RateLimitRelay::RemoveExpired(int64_t now_ms) {
+  std::erase_if(reporters_, [&](const auto& it) {
+    return now_ms - it.second > kReporterLifetimeMs;
+  });
   std::erase_if(entries_, [&](const auto& it) {
     return now_ms - it.second.reported_at_ms > kEntryLifetimeMs;
   });
--- a/Source/Core/Membership/rate_limit_relay.h
+++ b/Source/Core/Membership/rate_limit_relay.h
@@ -9,6 +9,7 @@
 
 #include "Core/Fleet/fleet_messages.h"
 #include "Core/Fleet/upstream_rate_limits.h"
+#include "Core/Net/endpoint.h"
 
 namespace primrosecove {
 
@@ -24,6 +25,10 @@
   static constexpr int64_t kMinNewsIntervalMs = 200;
   /// A limit that no router has reported for this long is forgotten.
   static constexpr int64_t kEntryLifetimeMs = 10'000;
+  /// An agent that no router has chosen for this long is no relay.
+  static constexpr int64_t kChosenLifetimeMs = 2000;
+  /// A router that has reported within this time is sent answers only.
+  static constexpr int64_t kReporterLifetimeMs = 1000;
 
   /// Summaries to send after a report.
   struct Answer {
@@ -31,8 +36,16 @@
     std::vector<RateLimitSummary> to_others;  ///< Those that have changed.
   };
 
-  /// Adds what a router reports and returns what routers are to learn.
-  Answer OnReport(const RateLimitReport& report, int64_t now_ms);
+  /// Adds what a router at `sender` reports and returns what routers are to
+  /// learn.
+  Answer OnReport(const RateLimitReport& report, const Endpoint& sender,
+                  int64_t now_ms);
+  /// Returns what to send periodically to routers that do not report here, so
+  /// that they do: all known limits, at least one summary; nothing if no router
+  /// has chosen this agent.
+  std::vector<RateLimitSummary> MakeAnnouncements(int64_t now_ms);
+  /// Whether the router at this address reports here.
+  bool ReportsHere(const Endpoint& router, int64_t now_ms) const;
   /// Number of upstreams with a known limit, or one that has just ended.
   size_t size() const { return entries_.size(); }
 
@@ -56,7 +69,14 @@
   void RemoveExpired(int64_t now_ms);
   static RateLimitSummaryEntry Summarize(const Entry& entry, int64_t now_ms);
 
-  std::map<std::string, Entry> entries_;  // By upstream.
+  bool IsChosen(int64_t now_ms) const {
+    return now_ms - chosen_at_ms_ <= kChosenLifetimeMs;
+  }
+  std::vector<RateLimitSummary> SummarizeAll(int64_t now_ms) const;
+
+  std::map<std::string, Entry> entries_;           // By upstream.
+  std::map<Endpoint, int64_t> reporters_;          // When each reported last.
+  int64_t chosen_at_ms_ = -kChosenLifetimeMs - 1;  // By any router, last.
 };
 
 }  // namespace primrosecove
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -272,6 +272,7 @@
   if (const auto* report = std::get_if<LossReport>(&message.value()))
     return state_.crash_correlator.AddRemoteLosses(*report, now);
   if (const auto* summary = std::get_if<RateLimitSummary>(&message.value())) {
+    relay_choice_.OnRelayMessage(from.ip, now);
     return state_.rate_limits.OnSummary(*summary, state_.registry, now);
   }
   if (const auto* digest = std::get_if<CrashDigest>(&message.value())) {
@@ -370,7 +371,9 @@
   state_.registry.Expire(now);
   state_.registry.UpdateSilence(now);
   ReportCrashes(now);
-  if (state_.rate_limits.HasNews()) ReportRateLimits(now);
+  // A new relay has to learn of this router before the others forget it.
+  bool has_new_relay = relay_choice_.Update(state_.registry, now);
+  if (has_new_relay || state_.rate_limits.HasNews()) ReportRateLimits(now);
   std::vector<std::shared_ptr<FleetRequest>> all;
   all.reserve(state_.requests.size());
   for (auto& [key, request] : state_.requests) all.push_back(request);
@@ -401,29 +404,32 @@
   }
   for (const CrashReport& report :
        MakeCrashReports(observations, now.count())) {
-    SendToRelays(report, now);
+    SendToRelays(report);
   }
   for (const LossReport& report : state_.crash_correlator.PopNewLosses(now))
-    SendToRelays(report, now);
+    SendToRelays(report);
 }
 
-void FleetRouter::SendToRelays(const FleetMessage& message, MonotonicTime now) {
-  relay_choice_.Update(state_.registry, now);
+void FleetRouter::SendToRelays(const FleetMessage& message) {
   std::string datagram = EncodeMessage(message);
-  for (const std::string& ip : relay_choice_.relays())
-    peer_socket_->Send(datagram, PeerEndpoint(state_.settings, ip));
+  for (const RelayChoice::Relay& it : relay_choice_.relays())
+    peer_socket_->Send(datagram, PeerEndpoint(state_.settings, it.ip));
 }
 
 void FleetRouter::ReportRateLimits(MonotonicTime now) {
-  for (const RateLimitReport& it : state_.rate_limits.MakeReports(now))
-    SendToRelays(it, now);
+  for (RateLimitReport& report : state_.rate_limits.MakeReports(now)) {
+    for (const RelayChoice::Relay& it : relay_choice_.relays()) {
+      report.is_chosen = it.is_chosen;
+      peer_socket_->Send(EncodeMessage(report),
+                         PeerEndpoint(state_.settings, it.ip));
+    }
+  }
 }
 
 void FleetRouter::SendCrashDigest() {
   MonotonicTime now = state_.Now();
   SendToRelays(
-      CrashDigest{state_.crash_correlator.table().Digest(now.count()), false},
-      now);
+      CrashDigest{state_.crash_correlator.table().Digest(now.count()), false});
 }
 
 void FleetRouter::ReloadSettings() {
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -72,7 +72,7 @@
   void CheckRequests();
   void ExcuseOwnStall(MonotonicTime now);
   void ReportCrashes(MonotonicTime now);
-  void SendToRelays(const FleetMessage& message, MonotonicTime now);
+  void SendToRelays(const FleetMessage& message);
   void SendCrashDigest();
   void ReportRateLimits(MonotonicTime now);
   void ReloadSettings();
--- a/Source/UnitTests/Agent/fleet_agent_test.cc
+++ b/Source/UnitTests/Agent/fleet_agent_test.cc
@@ -300,15 +300,16 @@
     auto message = DecodeMessage(bytes);
     if (!message) return;
     const auto* summary = std::get_if<RateLimitSummary>(&message.value());
-    if (summary != nullptr) heard = summary->entries.at(0);
+    if (summary != nullptr && !summary->entries.empty())
+      heard = summary->entries[0];
   });
   REQUIRE(other.Bind({fleet.EndpointOf(4).ip, kPeerPort}));
-  RateLimitReport report{7, {{{"e0", 5, 2.5, 100}, true}}};
+  RateLimitReport report{7, true, {{{"e0", 5, 2.5, 100}, true}}};
   Endpoint agent{fleet.EndpointOf(10).ip, kPeerPort};
   // A datagram may be lost.
   RunUntil(&fleet.loop, [&] {
     fleet.Send(report);
-    other.Send(EncodeMessage(RateLimitReport{8, {}}), agent);
+    other.Send(EncodeMessage(RateLimitReport{.router_id = 8}), agent);
     return heard.has_value();
   });
   CHECK(heard->statement.upstream_id == "e0");
@@ -321,11 +322,40 @@
   report.entries[0].statement.age_ms = 0;
   RunUntil(&fleet.loop, [&] {
     fleet.Send(report);
-    other.Send(EncodeMessage(RateLimitReport{8, {}}), agent);
+    other.Send(EncodeMessage(RateLimitReport{.router_id = 8}), agent);
     return !heard->statement.limit;
   });
 }
 
+// Guards against routers that know different agents and never hear of each
+// other: this one does not know that others use the agent as a relay.
+TEST_CASE("an agent tells routers that others have chosen it as a relay",
+          "[burst]") {
+  FleetFixture fleet(98, 1, 1);
+  int summaries = 0;
+  UdpSocket other(&fleet.loop, [&](std::string_view bytes, const Endpoint&) {
+    auto message = DecodeMessage(bytes);
+    if (message && std::holds_alternative<RateLimitSummary>(message.value()))
+      ++summaries;
+  });
+  REQUIRE(other.Bind({fleet.EndpointOf(4).ip, kPeerPort}));
+  Endpoint agent{fleet.EndpointOf(10).ip, kPeerPort};
+  RateLimitReport report{.router_id = 7, .is_chosen = false};
+  SteadyTime start = EventLoop::Now();
+  RunUntil(&fleet.loop, [&] {
+    other.Send(EncodeMessage(fleet.update), agent);
+    fleet.Send(report);
+    return EventLoop::Now() - start > Milliseconds(1200);
+  });
+  CHECK(summaries == 0);
+  report.is_chosen = true;
+  RunUntil(&fleet.loop, [&] {
+    other.Send(EncodeMessage(fleet.update), agent);
+    fleet.Send(report);
+    return summaries > 1;
+  });
+}
+
 TEST_CASE("malformed datagrams are dropped", "[burst]") {
   FleetFixture fleet(91, 1, 1);
   for (const char* bytes : {"", "n", "s\xff", "x123", "n\x91\x01"}) {
--- a/Source/UnitTests/Membership/rate_limit_sharing_test.cc
+++ b/Source/UnitTests/Membership/rate_limit_sharing_test.cc
@@ -295,7 +295,7 @@
 // Guards against routers that use different relays, because they know different
 // agents, and each divide the whole limit among those that they hear of.
 TEST_CASE("routers that know different agents keep a rate limit together",
-          "[.split-views]") {
+          "[split-views]") {
   for (const RateLimitScenario& scenario : SplitViews()) {
     for (uint64_t seed = 1; seed <= 5; ++seed) CheckRateLimit(scenario, seed);
   }
--- a/Source/UnitTests/Membership/rate_limit_simulation.cc
+++ b/Source/UnitTests/Membership/rate_limit_simulation.cc
@@ -27,14 +27,25 @@
 const Endpoint kUpstreamEndpoint{"10.0.1.1", 80};
 constexpr MonotonicTime kLateAgentStart{15'000};
 constexpr Milliseconds kStatusPeriod{500};
+constexpr Milliseconds kAnnouncementPeriod{500};
 
 // Agents and the upstreams beside them, in the order of their ids.
 std::string AgentId(size_t agent) {
   return "engine-" + std::to_string(100 + agent);
 }
 
+constexpr char kAgentIpPrefix[] = "10.0.2.";
+
 Endpoint AgentEndpoint(size_t agent) {
-  return {"10.0.2." + std::to_string(1 + agent), 80};
+  return {kAgentIpPrefix + std::to_string(agent), 80};
+}
+
+size_t AgentAt(const std::string& ip) {
+  return std::stoul(ip.substr(sizeof(kAgentIpPrefix) - 1));
+}
+
+Endpoint RouterEndpoint(size_t router) {
+  return {"router-" + std::to_string(router), 80};
 }
 
 }  // namespace
@@ -52,6 +63,10 @@
     At(RandomTime(100), [this, n] { Tick(n); });
     At(RandomTime(1000), [this, n] { UpdateLimits(n); });
   }
+  for (size_t relay = 0; relay < relays_.size(); ++relay) {
+    At(RandomTime(kAnnouncementPeriod.count()),
+       [this, relay] { Announce(relay); });
+  }
   ScheduleRequest();
   ScheduleDisturbances();
 }
@@ -252,42 +267,56 @@
   At(now_ + Milliseconds(1) + RandomTime(5), std::move(action));
 }
 
-void RateLimitSimulation::SendSummary(size_t n,
+void RateLimitSimulation::SendSummary(size_t n, size_t relay,
                                       const RateLimitSummary& summary) {
-  Carry(n, [this, n, summary] {
+  Carry(n, [this, n, relay, summary] {
     if (!IsUp(n)) return;
+    routers_[n].relay_choice.OnRelayMessage(AgentEndpoint(relay).ip, now_);
     routers_[n].limits->OnSummary(summary, *routers_[n].registry, now_);
   });
 }
 
 void RateLimitSimulation::ReportNow(size_t n) {
-  RelayChoice& choice = routers_[n].relay_choice;
-  choice.Update(*routers_[n].registry, now_);
-  for (const auto& report : routers_[n].limits->MakeReports(now_)) {
-    for (size_t relay = 0; relay < relays_.size(); ++relay) {
-      if (std::ranges::find(choice.relays(), AgentEndpoint(relay).ip) ==
-          choice.relays().end()) {
-        continue;
-      }
+  for (auto& report : routers_[n].limits->MakeReports(now_)) {
+    for (const RelayChoice::Relay& it : routers_[n].relay_choice.relays()) {
+      size_t relay = AgentAt(it.ip);
+      report.is_chosen = it.is_chosen;
       Carry(n, [this, n, relay, report] {
-        auto answer = relays_[relay].OnReport(report, now_.count());
-        for (const auto& it : answer.to_sender) SendSummary(n, it);
-        for (const auto& it : answer.to_others) {
+        auto answer =
+            relays_[relay].OnReport(report, RouterEndpoint(n), now_.count());
+        for (const auto& summary : answer.to_sender)
+          SendSummary(n, relay, summary);
+        for (const auto& summary : answer.to_others) {
           for (size_t i = 0; i < routers_.size(); ++i)
-            if (i != n && Knows(i, relay)) SendSummary(i, it);
+            if (i != n && Knows(i, relay)) SendSummary(i, relay, summary);
         }
       });
     }
   }
 }
 
+void RateLimitSimulation::Announce(size_t relay) {
+  for (const auto& summary : relays_[relay].MakeAnnouncements(now_.count())) {
+    for (size_t i = 0; i < routers_.size(); ++i) {
+      if (!Knows(i, relay)) continue;
+      if (!relays_[relay].ReportsHere(RouterEndpoint(i), now_.count()))
+        SendSummary(i, relay, summary);
+    }
+  }
+  At(now_ + kAnnouncementPeriod, [this, relay] { Announce(relay); });
+}
+
 void RateLimitSimulation::SendReports(size_t n) {
   if (IsUp(n)) ReportNow(n);
   At(now_ + Milliseconds(500), [this, n] { SendReports(n); });
 }
 
 void RateLimitSimulation::Tick(size_t n) {
-  if (IsUp(n) && routers_[n].limits->HasNews()) ReportNow(n);
+  if (IsUp(n)) {
+    Router& router = routers_[n];
+    bool has_new_relay = router.relay_choice.Update(*router.registry, now_);
+    if (has_new_relay || router.limits->HasNews()) ReportNow(n);
+  }
   At(now_ + Milliseconds(100), [this, n] { Tick(n); });
 }
 
--- a/Source/UnitTests/Membership/rate_limit_simulation.h
+++ b/Source/UnitTests/Membership/rate_limit_simulation.h
@@ -116,9 +116,10 @@
   void Silence();
   // Carries a datagram between a router and a relay.
   void Carry(size_t n, std::function<void()> action);
-  void SendSummary(size_t n, const RateLimitSummary& summary);
+  void SendSummary(size_t n, size_t relay, const RateLimitSummary& summary);
   void ReportNow(size_t n);
   void SendReports(size_t n);
+  void Announce(size_t relay);
   void Tick(size_t n);
   void UpdateLimits(size_t n);
   double RequestsPerSecond() const;
