Bound what a relay sends if many upstreams state limits

A relay answered each report with all limits that it knew, two to a datagram. With 68 limited upstreams and 16 routers, each report has five parts, and a relay sent 481,126 bytes in 5,530 datagrams a second: half of its link of 7.3 Mbit/s, beside an engine's responses and weights.

A router is sent all limits once in 200 ms, and summaries are filled up to 1,200 bytes.

--- a/Source/Core/Fleet/fleet_messages.h
+++ b/Source/Core/Fleet/fleet_messages.h
@@ -169,8 +169,8 @@
 /// Sent by an agent that is a relay: the rate limits that routers reported to
 /// it. Without entries, it tells routers with other relays to report to it too.
 struct RateLimitSummary {
-  /// Entries that fit into a datagram that is not fragmented.
-  static constexpr size_t kMaxEntries = 2;
+  /// Fits into a datagram that is not fragmented.
+  static constexpr size_t kMaxBytes = 1200;
   std::vector<RateLimitSummaryEntry> entries;
 };
 
--- a/Source/Core/Membership/rate_limit_relay.cc
+++ b/Source/Core/Membership/rate_limit_relay.cc
@@ -9,12 +9,23 @@
 namespace primrosecove {
 namespace {
 
+// Returns an upper bound of the encoded size.
+size_t MaxEncodedBytes(const RateLimitSummaryEntry& entry) {
+  constexpr size_t kNumberBytes = 9;
+  constexpr size_t kOtherNumbers = 5;
+  return entry.statement.upstream_id.size() +
+         kNumberBytes * (kOtherNumbers + entry.sharers.size());
+}
+
 std::vector<RateLimitSummary> Pack(std::vector<RateLimitSummaryEntry> entries) {
   std::vector<RateLimitSummary> out;
+  size_t bytes = RateLimitSummary::kMaxBytes;
   for (RateLimitSummaryEntry& it : entries) {
-    if (out.empty() ||
-        out.back().entries.size() >= RateLimitSummary::kMaxEntries)
+    bytes += MaxEncodedBytes(it);
+    if (bytes > RateLimitSummary::kMaxBytes) {
       out.emplace_back();
+      bytes = MaxEncodedBytes(it);
+    }
     out.back().entries.push_back(std::move(it));
   }
   return out;
@@ -27,7 +38,9 @@
                                                 int64_t now_ms) {
   RemoveExpired(now_ms);
   if (report.is_chosen) chosen_at_ms_ = now_ms;
-  reporters_[sender] = now_ms;
+  auto [reporter, is_new] =
+      reporters_.try_emplace(sender, now_ms, now_ms - kMinAnswerIntervalMs);
+  reporter->second.reported_at_ms = now_ms;
   for (const RateLimitReportEntry& it : report.entries)
     Merge(it, report.router_id, now_ms);
   // Without an answer, routers that have not chosen this agent leave it.
@@ -40,8 +53,16 @@
     entry.news_sent_at_ms = now_ms;
     news.push_back(Summarize(entry, now_ms));
   }
-  Answer out{SummarizeAll(now_ms), Pack(std::move(news))};
-  if (!report.is_chosen && out.to_sender.empty()) out.to_sender.emplace_back();
+  Answer out{{}, Pack(std::move(news))};
+  int64_t& answered_at_ms = reporter->second.answered_at_ms;
+  if (now_ms - answered_at_ms >= kMinAnswerIntervalMs) {
+    answered_at_ms = now_ms;
+    out.to_sender = SummarizeAll(now_ms);
+    if (!report.is_chosen && out.to_sender.empty())
+      out.to_sender.emplace_back();
+  } else {
+    out.to_sender = out.to_others;
+  }
   return out;
 }
 
@@ -64,7 +85,8 @@
 
 bool RateLimitRelay::ReportsHere(const Endpoint& router, int64_t now_ms) const {
   auto it = reporters_.find(router);
-  return it != reporters_.end() && now_ms - it->second <= kReporterLifetimeMs;
+  return it != reporters_.end() &&
+         now_ms - it->second.reported_at_ms <= kReporterLifetimeMs;
 }
 
 void RateLimitRelay::Merge(const RateLimitReportEntry& reported,
@@ -98,7 +120,7 @@
 
 void RateLimitRelay::RemoveExpired(int64_t now_ms) {
   std::erase_if(reporters_, [&](const auto& it) {
-    return now_ms - it.second > kReporterLifetimeMs;
+    return now_ms - it.second.reported_at_ms > kReporterLifetimeMs;
   });
   std::erase_if(entries_, [&](const auto& it) {
     return now_ms - it.second.reported_at_ms > kEntryLifetimeMs;
--- a/Source/Core/Membership/rate_limit_relay.h
+++ b/Source/Core/Membership/rate_limit_relay.h
@@ -29,10 +29,13 @@
   static constexpr int64_t kChosenLifetimeMs = 2000;
   /// A router that has reported within this time is sent answers only.
   static constexpr int64_t kReporterLifetimeMs = 1000;
+  /// A router that reports more often is not sent all limits each time.
+  static constexpr int64_t kMinAnswerIntervalMs = 200;
 
   /// Summaries to send after a report.
   struct Answer {
-    std::vector<RateLimitSummary> to_sender;  ///< All known limits.
+    /// All known limits, unless the sender was sent them just before.
+    std::vector<RateLimitSummary> to_sender;
     std::vector<RateLimitSummary> to_others;  ///< Those that have changed.
   };
 
@@ -69,13 +72,18 @@
   void RemoveExpired(int64_t now_ms);
   static RateLimitSummaryEntry Summarize(const Entry& entry, int64_t now_ms);
 
+  struct Reporter {
+    int64_t reported_at_ms = 0;
+    int64_t answered_at_ms = 0;
+  };
+
   bool IsChosen(int64_t now_ms) const {
     return now_ms - chosen_at_ms_ <= kChosenLifetimeMs;
   }
   std::vector<RateLimitSummary> SummarizeAll(int64_t now_ms) const;
 
-  std::map<std::string, Entry> entries_;           // By upstream.
-  std::map<Endpoint, int64_t> reporters_;          // When each reported last.
+  std::map<std::string, Entry> entries_;  // By upstream.
+  std::map<Endpoint, Reporter> reporters_;
   int64_t chosen_at_ms_ = -kChosenLifetimeMs - 1;  // By any router, last.
 };
 
