End a rate limit by a response, not by a start time

A limit was dropped as soon as the registration or the agent's status gave a later start than the one it was stated for, so an entry of another writer (or a born that fits no field) ended it at all routers at once. It was then stated again for that start time, and the responses of the real process counted as those of an earlier one: the limit never ended.

Statements are now ordered by when they were made. A limit holds for a successor until its first response without one, and for any other process until three.

--- a/Source/Core/Fleet/upstream_rate_limits.cc
+++ b/Source/Core/Fleet/upstream_rate_limits.cc
@@ -28,13 +28,6 @@
 // For how long the requests after the end of a limit are counted.
 constexpr Milliseconds kRecentEndLifetime{5000};
 
-// A successor has no limit until it states one.
-bool IsReplaced(const RateLimitStatement& statement,
-                const FleetUpstream& upstream) {
-  return statement.start_time_ms != 0 &&
-         statement.start_time_ms < upstream.StartTimeMs();
-}
-
 }  // namespace
 
 RateLimitStatement ReadStatement(const RateLimitStatementEntry& entry,
@@ -50,11 +43,6 @@
           static_cast<uint32_t>(age.count())};
 }
 
-bool RateLimitStatement::IsNewerThan(const RateLimitStatement& other) const {
-  if (!IsOfSameProcess(other)) return start_time_ms > other.start_time_ms;
-  return made_at > other.made_at;
-}
-
 void RateLimitStatement::ReplaceBy(RateLimitStatement newer) {
   if (newer.start_time_ms == 0) newer.start_time_ms = start_time_ms;
   *this = std::move(newer);
@@ -97,8 +85,9 @@
 bool UpstreamRateLimits::ConfirmsEnd(const RateLimitStatement& statement,
                                      Entry* entry) {
   const RateLimitStatement& known = entry->statement;
-  if (!known.limit || !statement.IsOfSameProcess(known)) return true;
+  if (!known.limit) return true;
   if (!statement.IsNewerThan(known)) return false;
+  if (statement.IsOfSuccessor(known)) return true;
   if (++entry->responses_without_limit >= kResponsesToEnd) return true;
   entry->extra_requests = 1;
   PC_INFO(kMembership, "event=rate_limit_missing id="
@@ -156,9 +145,7 @@
     const FleetUpstream& upstream) const {
   auto it = entries_.find(upstream.record.id);
   if (it == entries_.end()) return std::nullopt;
-  const RateLimitStatement& known = it->second.statement;
-  if (IsReplaced(known, upstream)) return std::nullopt;
-  return known.limit;
+  return it->second.statement.limit;
 }
 
 std::vector<RateLimitReport> UpstreamRateLimits::MakeReports(
@@ -322,18 +309,12 @@
     if (registry.all().contains(id)) entry.last_registered_at = now;
   std::erase_if(entries_, [&](const auto& it) {
     const RateLimitStatement& statement = it.second.statement;
-    auto upstream = registry.all().find(it.first);
-    const char* why = nullptr;
-    if (upstream != registry.all().end() &&
-        IsReplaced(statement, upstream->second)) {
-      why = "another process";
-    } else if (now - it.second.last_registered_at > kUnregisteredLifetime) {
-      why = "no registration";
-    }
-    if (why != nullptr && statement.limit) RecordEnd(statement, why, now);
+    bool is_gone = now - it.second.last_registered_at > kUnregisteredLifetime;
+    if (is_gone && statement.limit)
+      RecordEnd(statement, "no registration", now);
     bool has_ended =
         !statement.limit && now - statement.made_at > kWithdrawalLifetime;
-    return has_ended || why != nullptr;
+    return has_ended || is_gone;
   });
   LogRecentEnds(now);
   for (auto& [id, entry] : entries_) {
--- a/Source/Core/Fleet/upstream_rate_limits.h
+++ b/Source/Core/Fleet/upstream_rate_limits.h
@@ -23,13 +23,16 @@
   std::optional<double> limit;  ///< Requests per second; empty if it has none.
   MonotonicTime made_at{0};
 
-  /// Whether both may be of the same process of their upstream.
-  bool IsOfSameProcess(const RateLimitStatement& other) const {
-    return start_time_ms == 0 || other.start_time_ms == 0 ||
-           start_time_ms == other.start_time_ms;
+  /// Whether it is of a process that has replaced that of `other`.
+  bool IsOfSuccessor(const RateLimitStatement& other) const {
+    return start_time_ms != 0 && other.start_time_ms != 0 &&
+           start_time_ms > other.start_time_ms;
+  }
+  /// Whether this statement replaces `other` of the same upstream. Start times
+  /// do not decide: an entry of another writer may give a wrong one.
+  bool IsNewerThan(const RateLimitStatement& other) const {
+    return made_at > other.made_at;
   }
-  /// Whether this statement replaces `other` of the same upstream.
-  bool IsNewerThan(const RateLimitStatement& other) const;
   /// Takes over a newer statement. The start time stays if the newer one's is
   /// unknown.
   void ReplaceBy(RateLimitStatement newer);
@@ -37,7 +40,7 @@
   bool IsEchoOf(const RateLimitStatement& other) const;
   /// Whether it says something else than `other`.
   bool Contradicts(const RateLimitStatement& other) const {
-    return limit != other.limit || !IsOfSameProcess(other);
+    return limit != other.limit || IsOfSuccessor(other);
   }
 };
 
@@ -81,7 +84,7 @@
   /// unknown. `request_sent_at` is when its request was sent: a response that
   /// was under way when the upstream stated a limit does not end that limit.
   /// The limit ends with kResponsesToEnd consecutive successful ones without
-  /// it.
+  /// it, or with a single one of a later process.
   void OnResponse(const std::string& upstream_id, int64_t start_time_ms,
                   const ResponseFields& response, MonotonicTime request_sent_at,
                   MonotonicTime now);
@@ -99,9 +102,10 @@
   /// Records a summary that a relay sent.
   void OnSummary(const RateLimitSummary& summary,
                  const UpstreamRegistry& registry, MonotonicTime now);
-  /// Forgets upstreams whose process has been replaced or that have not been
-  /// registered for kUnregisteredLifetime, and limits that ended some time ago,
-  /// and logs the use of limits since the last call.
+  /// Forgets upstreams that have not been registered for kUnregisteredLifetime,
+  /// and limits that ended some time ago, and logs the use of limits since the
+  /// last call. A limit holds for a successor of its process until that one
+  /// responds.
   void Update(const UpstreamRegistry& registry, MonotonicTime now);
 
   /// Returns whether a request may be sent to an upstream now, and records that
@@ -120,7 +124,7 @@
   /// Takes back a request that did not reach the upstream.
   void OnNotSent(const std::string& upstream_id, int64_t unix_ms);
 
-  /// Returns the limit of an upstream's present process, if it has one.
+  /// Returns the limit that an upstream has last stated, if it has one.
   std::optional<double> LimitOf(const FleetUpstream& upstream) const;
   /// Number of upstreams with a limit.
   size_t size() const;
