--- a/Source/Emulator/fleet_model.cc
+++ b/Source/Emulator/fleet_model.cc
@@ -207,7 +207,8 @@
 void FleetModel::ReportRateLimits() {
   for (auto& sender : routers_) {
     for (const auto& report : sender->rate_limits.MakeReports(Now())) {
-      auto answer = relay_.OnReport(report, Now().count());
+      Endpoint address{std::to_string(report.router_id), 0};
+      auto answer = relay_.OnReport(report, address, Now().count());
       for (auto& router : routers_) {
         const auto& summaries =
             router == sender ? answer.to_sender : answer.to_others;
