--- a/Source/Core/Fleet/deployment_source.h
+++ b/Source/Core/Fleet/deployment_source.h
@@ -14,6 +14,7 @@
   kOk,
   kRevisionCompacted,  ///< Changes since that revision are no longer kept.
   kUnavailable,        ///< The call was refused, failed or timed out.
+  kUnreadable,         ///< The response is malformed or too large.
 };
 
 /// The result of one read or watch.
--- a/Source/Core/Fleet/deployment_watcher.cc
+++ b/Source/Core/Fleet/deployment_watcher.cc
@@ -86,6 +86,10 @@
     MarkReachable();
     return ReadPage("");
   }
+  if (result.status == SourceStatus::kUnreadable) {
+    // The same changes would be unreadable again, but a later state may not be.
+    return ScheduleRetry(result.why, [this] { ReadPage(""); });
+  }
   if (result.status != SourceStatus::kOk) {
     return ScheduleRetry(result.why, [this] { Watch(); });
   }
--- a/Source/UnitTests/Platform/codec_test.cc
+++ b/Source/UnitTests/Platform/codec_test.cc
@@ -60,6 +60,92 @@
   }
 }
 
+// Guards against an odd entry of another writer that is taken for sound: a
+// number that does not fit its field is undefined, and differs between
+// processors, or wraps.
+TEST_CASE("a number that does not fit its field makes an entry unusable") {
+  struct Row {
+    const char* field;
+    const char* value;
+    bool usable;
+  };
+  const Row rows[] = {
+      {"slots", "4", true},
+      {"slots", "4.0", true},
+      {"slots", "0", true},
+      {"slots", "-1", false},
+      {"slots", "4.5", false},
+      {"slots", "65536", false},
+      {"slots", "4294967300", false},
+      {"slots", "99999999999999999999", false},
+      {"slots", "1e300", false},
+      {"slots", "1e400", false},
+      {"slots", "true", false},
+      {"slots", "null", false},
+      {"born", "1796000000000", true},
+      {"born", "-5", false},
+      {"born", "1e300", false},
+      {"born", "18446744073709551615", false},
+      {"born", "1796000000000.5", false},
+      {"cold_remaining_ms", "250.5", true},
+      {"cold_remaining_ms", "1e300", false},
+      {"cold_remaining_ms", "true", false},
+      {"models", R"([{"name":"m","version":-1}])", false},
+      {"models", R"([{"name":"m","version":1e30}])", false},
+      {"address", R"("10.0.0.1:0")", false},
+      {"address", R"("10.0.0.1:65536")", false},
+      {"address", R"("10.0.0.1:-80")", false},
+      {"address", R"("10.0.0.1:99999999999999999999")", false},
+      {"address", "[80]", false},
+  };
+  for (const Row& row : rows) {
+    INFO(row.field << " " << row.value);
+    // Of several fields with one name, the last holds.
+    std::string text = "{" + std::string(kRegistrationFields) +
+                       R"(,"state":"ready",")" + row.field + "\":" + row.value +
+                       "}";
+    CHECK(DecodeUpstream("i-1", text).has_value() == row.usable);
+  }
+}
+
+// Guards against a log line as large as the entry of another writer.
+TEST_CASE("the error of an odd entry is short") {
+  for (const std::string& text :
+       {std::string(500'000, '9'), "{\"slots\":" + std::string(500'000, '9'),
+        std::string(500'000, '[')}) {
+    auto record = DecodeUpstream("i-1", text);
+    REQUIRE_FALSE(record);
+    CHECK(record.error().message.size() <= 300);
+  }
+}
+
+TEST_CASE("an engine status with a number out of range is unreadable") {
+  for (const char* field : {"pace", "running", "waiting", "kv_in_use"}) {
+    for (const char* value : {"1e300", "-1"}) {
+      INFO(field << " " << value);
+      std::string text = std::string("{\"") + field + "\":" + value + "}";
+      CHECK_FALSE(DecodeEngineStatus(text));
+    }
+  }
+}
+
+// Guards against numbers in header fields that wrap to small or negative ones.
+TEST_CASE("numbers of header fields that fit no field are not used") {
+  const char* huge = "18446744073709551615";
+  CallerFields caller =
+      DecodeCallerFields({{"Request-Id", "1"},
+                          {"Deadline-Ms", huge},
+                          {"Length-Hint", huge},
+                          {"Token-Usage", std::string(huge) + "," + huge}});
+  CHECK((!caller.deadline || *caller.deadline > Milliseconds(0)));
+  CHECK(caller.expected_output_tokens.value_or(0) >= 0);
+  CHECK(caller.prompt_tokens >= 0);
+  CHECK(caller.max_output_tokens >= 0);
+  ResponseFields response =
+      DecodeResponseFields(200, {{"Server-Load", "4294967300,0,4"}});
+  CHECK_FALSE(response.load);
+}
+
 TEST_CASE("weights are fully loaded if all layers have their version") {
   struct Row {
     const char* name;
--- a/Source/UnitTests/Router/fleet_router_test.cc
+++ b/Source/UnitTests/Router/fleet_router_test.cc
@@ -184,6 +184,53 @@
   CHECK(fixture.engines["plain-0"]->runs().empty());
 }
 
+// Guards against a router that ends, or no longer follows the store, because
+// another writer has left an odd entry among those of the upstreams.
+TEST_CASE("a router follows the store beside odd entries", "[fleet]") {
+  RouterFixture fixture(108);
+  auto with = [](const char* field, const std::string& value) {
+    return std::string(R"({"service":"desk","address":"127.77.108.9:80",)") +
+           R"("zone":"z1","slots":4,"state":"ready",")" + field +
+           "\":" + value + "}";
+  };
+  const std::string odd[] = {
+      std::string(500'000, '['),
+      "{\"models\":" + std::string(100'000, '{'),
+      with("future", std::string(200'000, '[') + std::string(200'000, ']')),
+      with("slots", "1e300"),
+      with("slots", "99999999999999999999"),
+      with("slots", "1e400"),
+      with("born", "-1e300"),
+      with("address", R"("127.77.108.9:65536")"),
+      with("address", R"("127.77.108.9:-1")"),
+      std::string(3 << 20, '9'),
+      std::string("\0\xff\xfe", 3),
+  };
+  int n = 0;
+  for (const std::string& it : odd) {
+    std::string key = "servers/odd-" + std::to_string(++n);
+    fixture.store.Put(key, it);
+    // The writer goes on.
+    fixture.store.Put(key, it);
+  }
+  // The history holds each of the odd entries twice.
+  fixture.store.SetFault(StoreFault::kNone);
+  fixture.AddUpstream("plain-9", "desk", "", 9);
+  RunUntil(&fixture.loop, [&] {
+    return fixture.router->registry().all().contains("plain-9");
+  });
+  // Only a readable entry whose field of no known name is odd is used.
+  CHECK(fixture.router->registry().all().size() == 6);
+  // A router that reads the whole list bears it as well.
+  fixture.store.Compact();
+  fixture.store.CutWatches();
+  fixture.engines["plain-9"]->Unregister();
+  RunUntil(&fixture.loop, [&] {
+    return !fixture.router->registry().all().contains("plain-9");
+  });
+  CHECK(fixture.SendAndWait("/stream/1").head->status == 200);
+}
+
 TEST_CASE("a draining upstream gets no new requests and completes its streams",
           "[fleet]") {
   struct Row {
