Keep errors of the next upstream out of a stream that broke off

Another operator's report: a stream had begun and broke off, the next server answered with an error, and clients found its text, or its head, in the middle of their stream, or a stream that ended as if it were complete. Here error statuses were kept out. A 200 without new events ended the stream as complete, and a head or a text in the body of the second (or the first) stream was forwarded as an event.

A response that adds no event to a stream that has begun no longer completes it, and an event without an id in a stream of events with ids ends its attempt; the request goes on elsewhere or is broken off. Neither counts as a crash of the upstream. A stream whose events all arrived, but whose end was lost, is now broken off if the next upstream has nothing to add: the caller can't be told that it was complete.

--- a/Source/Core/Router/fleet_attempt.h
+++ b/Source/Core/Router/fleet_attempt.h
@@ -38,6 +38,8 @@
   /// Weights that the response states for its first events.
   std::optional<uint64_t> response_weights;
   EventFramer framer;
+  int event_count = 0;             ///< Events forwarded to the caller.
+  bool has_foreign_event = false;  ///< The rest is not forwarded.
 
   void RecordData(MonotonicTime now) {
     last_data_at = now;
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -290,11 +290,24 @@
   attempt->framer.Push(bytes, [this, attempt](const StreamEvent& event) {
     OnEvent(attempt, event);
   });
+  if (attempt->has_foreign_event)
+    return OnUnusableResponse(attempt, "event of another response");
   if (attempt->framer.partial_bytes() > kMaxEventBytes)
     OnAttemptFailure(attempt, "event too large");
 }
 
+// An upstream may write an error, even with its head, into a stream that has
+// begun. The events of a stream have ids, or none has.
+bool FleetRequest::IsForeignEvent(const FleetAttempt& attempt,
+                                  const StreamEvent& event) const {
+  if (event.id || event.text.starts_with(':')) return false;
+  bool continues_another = event_count_ > 0 && attempt.event_count == 0;
+  return last_event_id_ || continues_another;
+}
+
 void FleetRequest::OnEvent(FleetAttempt* attempt, const StreamEvent& event) {
+  attempt->has_foreign_event |= IsForeignEvent(*attempt, event);
+  if (attempt->has_foreign_event) return;
   if (event.id) {
     // A resumed stream may start with events that the caller has already
     // received.
@@ -308,6 +321,7 @@
   if (event_count_ > 0)
     longest_pause_ = std::max(longest_pause_, now - last_event_at_);
   last_event_at_ = now;
+  ++attempt->event_count;
   if (event_count_++ == 0) {
     weights_version_ = attempt->response_weights;
     first_event_at_ = now;
@@ -374,6 +388,9 @@
   if (attempt->streaming) {
     if (attempt->framer.partial_bytes() > 0)
       return OnAttemptFailure(attempt, "truncated event at end of stream");
+    // The caller would take the events before for the complete stream.
+    if (event_count_ > 0 && attempt->event_count == 0)
+      return OnUnusableResponse(attempt, "no event continues the stream");
     KeepOnly(*attempt);
     RecordCompletion(*attempt, head.status);
     exchange_->EndStream();
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -98,6 +98,12 @@
   void OnRefusal(FleetAttempt* attempt, const ResponseFields& response,
                  int status);
   void OnAttemptFailure(FleetAttempt* attempt, const char* why);
+  // Ends an attempt whose response can't be used, but shows that its upstream
+  // has not crashed.
+  void OnUnusableResponse(FleetAttempt* attempt, const char* why);
+  // Whether an event can't be part of the stream that the caller receives.
+  bool IsForeignEvent(const FleetAttempt& attempt,
+                      const StreamEvent& event) const;
   // Ends the other attempt, because `attempt` continues the response.
   void KeepOnly(const FleetAttempt& attempt);
   // Continues with the other attempt, with another upstream, or not at all.
--- a/Source/Core/Router/fleet_request_failure.cc
+++ b/Source/Core/Router/fleet_request_failure.cc
@@ -53,6 +53,17 @@
   ContinueOrFail(why);
 }
 
+void FleetRequest::OnUnusableResponse(FleetAttempt* attempt, const char* why) {
+  PC_INFO(kRouter, "event=response_unusable id="
+                       << fields_.request_id
+                       << " upstream=" << attempt->upstream_id
+                       << " events=" << event_count_ << " why=\"" << why << "\""
+                       << " other_attempts=" << in_flight_.size() - 1);
+  RemoveAttempt(*attempt, UpstreamVerdict::kFailed);
+  execution_state_ = ExecutionState::kMayHaveExecuted;
+  ContinueOrFail(why);
+}
+
 void FleetRequest::RecordConnectionLoss(FleetAttempt* attempt) {
   if (std::exchange(attempt->is_loss_recorded, true)) return;
   MonotonicTime now = state_->Now();
--- /dev/null
+++ b/Source/UnitTests/Router/upstream_response_test.cc
@@ -0,0 +1,210 @@
+// Tests of responses that do not belong where they arrive: an earlier refusal
+// that a server sends again, and errors that follow a broken stream.
+#include "../raw_server.h"
+#include "fleet_router_fixture.h"
+
+namespace primrosecove {
+namespace {
+
+using Response = RawServer::ScriptedResponse;
+using End = RawServer::End;
+
+// Returns a response with a length.
+std::string Http(const char* status, const std::string& request_id,
+                 const std::string& headers, const std::string& body) {
+  std::string out = std::string("HTTP/1.1 ") + status + "\r\n";
+  if (!request_id.empty()) out += "Request-Id: " + request_id + "\r\n";
+  return out + headers + "Content-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+std::string Refusal(const std::string& request_id) {
+  return Http("503 Service Unavailable", request_id, "Not-Executed: 1\r\n",
+              "full");
+}
+
+// A router whose service "raw" has scripted servers.
+class RawUpstreams {
+ public:
+  RawUpstreams(int group, size_t servers) : fixture(group) {
+    nlohmann::json config = RouterFixture::MakeConfigJson(2);
+    config["routes"].push_back(RouteJson("/raw-once/", "unsafe", "raw", 2));
+    config["routes"].push_back(RouteJson("/raw-twice/", "safe", "raw", 2));
+    config["routes"].push_back(
+        RouteJson("/raw-resumed/", "streaming", "raw", 2));
+    fixture.store.Put("op/config", config.dump());
+    for (size_t n = 0; n < servers; ++n) {
+      Endpoint endpoint = fixture.EndpointAt(40 + static_cast<int>(n));
+      this->servers.push_back(
+          std::make_unique<RawServer>(&fixture.loop, endpoint));
+      this->servers[n]->ShareResponses(this->servers[0].get());
+      nlohmann::json entry = {{"service", "raw"},
+                              {"address", endpoint.ToString()},
+                              {"zone", "z1"},
+                              {"slots", 4},
+                              {"state", "ready"}};
+      fixture.store.Put("servers/raw-" + std::to_string(n), entry.dump());
+    }
+    RunUntil(&fixture.loop, [&] {
+      return fixture.router->config_version() == 2 &&
+             fixture.router->registry().all().size() == 4 + servers;
+    });
+  }
+
+  int Requests() const {
+    int out = 0;
+    for (const auto& it : servers) out += it->requests();
+    return out;
+  }
+
+  RouterFixture fixture;
+  std::vector<std::unique_ptr<RawServer>> servers;
+};
+
+// Guards against 'not executed' for a request that its upstream runs: the
+// upstream sends an earlier refusal once more on a kept connection.
+TEST_CASE("a refusal that is sent again refuses no other request", "[fleet]") {
+  struct Row {
+    const char* name;
+    const char* path;
+    // Sent to the second request; the first has been refused.
+    std::string second;
+    int status;
+    std::string body;
+  };
+  const std::string signature = "Server-Signature: s\r\n";
+  const Row rows[] = {
+      {"before the response", "/raw/1",
+       Refusal("req-1") + Http("200 OK", "req-2", signature, "mine"), 200,
+       "mine"},
+      {"without an id", "/raw/1",
+       Refusal("") + Http("200 OK", "req-2", signature, "mine"), 502, ""},
+      {"of a non-idempotent request", "/raw-once/1",
+       Refusal("req-1") + Http("200 OK", "req-2", signature, "mine"), 200,
+       "mine"},
+      {"after the response", "/raw/1",
+       Http("200 OK", "req-2", signature, "mine") + Refusal("req-1"), 200,
+       "mine"},
+      {"twice", "/raw/1",
+       Refusal("req-1") + Refusal("req-1") +
+           Http("200 OK", "req-2", signature, "mine"),
+       200, "mine"},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    RawUpstreams upstreams(109, 1);
+    upstreams.servers[0]->Add({Refusal("req-1")});
+    upstreams.servers[0]->Add({row.second});
+    upstreams.servers[0]->Add({Http("200 OK", "req-3", signature, "next")});
+    CHECK(upstreams.fixture.SendAndWait("/raw/1").head->status == 503);
+    CallResult result = upstreams.fixture.SendAndWait(row.path);
+    CHECK(result.head->status == row.status);
+    CHECK(result.body == row.body);
+    CHECK(upstreams.Requests() == 2);
+    // The next request gets its own response.
+    CHECK(upstreams.fixture.SendAndWait("/raw/1").body == "next");
+  }
+}
+
+// Guards against a request that runs twice, because the refusal of an earlier
+// one was taken for its own.
+TEST_CASE("a refusal that is sent again starts no second run", "[fleet]") {
+  for (const char* path : {"/raw-once/1", "/raw-twice/1"}) {
+    INFO(path);
+    RawUpstreams upstreams(109, 2);
+    RouterFixture& fixture = upstreams.fixture;
+    const std::string ok =
+        Http("200 OK", "req-2", "Server-Signature: s\r\n", "mine");
+    // Both refuse the first request.
+    upstreams.servers[0]->Add({Refusal("req-1")});
+    upstreams.servers[0]->Add({Refusal("req-1")});
+    upstreams.servers[0]->Add({Refusal("req-1") + ok});
+    CHECK(fixture.SendAndWait("/raw-twice/1").head->status == 503);
+    CHECK(upstreams.Requests() == 2);
+    CHECK(fixture.SendAndWait(path).body == "mine");
+    CHECK(upstreams.Requests() == 3);
+  }
+}
+
+// Guards against an error inside a stream, and against a stream that seems to
+// be complete: it broke off, and the next upstream responds with an error.
+TEST_CASE("an error after a broken stream does not reach the caller",
+          "[fleet]") {
+  const std::string signature = "Server-Signature: s\r\n";
+  const std::string stream = "HTTP/1.1 200 OK\r\n" + signature +
+                             "Content-Type: text/event-stream\r\n\r\n";
+  const std::string first = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  const std::string rest = "id: 3\ndata: c\n\n";
+  const std::string error_head =
+      "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: req-1\r\n\r\n";
+  const Response broken = {stream + first, End::kReset};
+  struct Row {
+    const char* name;
+    std::vector<Response> responses;
+    CallEnd end;
+    std::string body;
+  };
+  const Row rows[] = {
+      {"the rest follows",
+       {broken, {stream + rest, End::kClose}},
+       CallEnd::kComplete,
+       first + rest},
+      {"a refusal",
+       {broken, {Refusal("req-1")}},
+       CallEnd::kConnectionLost,
+       first},
+      {"an error",
+       {broken, {Http("500 Internal Server Error", "req-1", signature, rest)}},
+       CallEnd::kConnectionLost,
+       first},
+      {"a client error",
+       {broken, {Http("404 Not Found", "req-1", signature, rest)}},
+       CallEnd::kConnectionLost,
+       first},
+      {"a stream without events",
+       {broken, {Http("200 OK", "req-1", signature, "")}},
+       CallEnd::kConnectionLost,
+       first},
+      {"a stream of events that were sent before",
+       {broken, {stream + first, End::kClose}},
+       CallEnd::kConnectionLost,
+       first},
+      {"an unsigned stream",
+       {broken, {Http("200 OK", "req-1", "", rest)}},
+       CallEnd::kConnectionLost,
+       first},
+      {"a head in the body",
+       {broken, {stream + error_head, End::kClose}},
+       CallEnd::kConnectionLost,
+       first},
+      {"a text in the body",
+       {broken, {stream + "data: overloaded\n\n", End::kClose}},
+       CallEnd::kConnectionLost,
+       first},
+      {"nothing", {broken, {"", End::kClose}}, CallEnd::kConnectionLost, first},
+      {"a head amid the first stream",
+       {{stream + first + error_head, End::kClose}, {Refusal("req-1")}},
+       CallEnd::kConnectionLost,
+       first},
+      {"a text amid the first stream",
+       {{stream + first + "{\"error\": \"overloaded\"}\n\n", End::kClose},
+        {Refusal("req-1")}},
+       CallEnd::kConnectionLost,
+       first},
+      {"a comment amid the first stream",
+       {{stream + first + ": still here\n\n" + rest, End::kClose}},
+       CallEnd::kComplete,
+       first + ": still here\n\n" + rest},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    RawUpstreams upstreams(110, 2);
+    for (const Response& it : row.responses) upstreams.servers[0]->Add(it);
+    CallResult result = upstreams.fixture.SendAndWait("/raw-resumed/1");
+    CHECK(result.end == row.end);
+    CHECK(result.body == row.body);
+  }
+}
+
+}  // namespace
+}  // namespace primrosecove
--- a/Source/UnitTests/raw_server.h
+++ b/Source/UnitTests/raw_server.h
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 #include <deque>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -42,9 +43,14 @@
     evconnlistener_free(listener_);
   }
   void Add(ScriptedResponse response) {
-    responses_.push_back(std::move(response));
+    responses_->push_back(std::move(response));
   }
+  // Takes the next responses from those of another server, so that their order
+  // holds whichever of both a request reaches.
+  void ShareResponses(RawServer* other) { responses_ = other->responses_; }
   int accepted() const { return accepted_; }
+  // Request heads received.
+  int requests() const { return requests_; }
   // Bytes sent that `repeated` adds.
   size_t repeated_bytes() const { return repeated_bytes_; }
 
@@ -64,9 +70,10 @@
     evbuffer* in = bufferevent_get_input(bev);
     if (evbuffer_search(in, "\r\n\r\n", 4, nullptr).pos < 0) return;
     evbuffer_drain(in, evbuffer_get_length(in));
-    if (self->responses_.empty()) return;
-    ScriptedResponse response = self->responses_.front();
-    self->responses_.pop_front();
+    ++self->requests_;
+    if (self->responses_->empty()) return;
+    ScriptedResponse response = self->responses_->front();
+    self->responses_->pop_front();
     self->end_ = response.end;
     self->repeated_ = response.repeated;
     self->period_ = response.period;
@@ -108,7 +115,8 @@
   EventLoop* loop_;
   evconnlistener* listener_;
   std::vector<bufferevent*> open_;
-  std::deque<ScriptedResponse> responses_;
+  std::shared_ptr<std::deque<ScriptedResponse>> responses_ =
+      std::make_shared<std::deque<ScriptedResponse>>();
   std::vector<Timer> resets_;
   std::string repeated_;
   Milliseconds period_{0};
@@ -116,6 +124,7 @@
   size_t repeated_bytes_ = 0;
   End end_ = End::kKeepOpen;
   int accepted_ = 0;
+  int requests_ = 0;
 };
 
 }  // namespace primrosecove
