Do not take a refusal without an id for that of the present request

Another operator's report: a server wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that ran. Here requests that must not run twice use a fresh connection, and a response with the id of another request is skipped. A refusal without an id on a connection that an earlier call had used was taken for that of the present request (test 'a refusal that is sent again refuses no other request', case 'without an id': 503 for 502).

Such a refusal now ends its attempt as one that may have run.

--- a/Source/Core/Net/http1_client.cc
+++ b/Source/Core/Net/http1_client.cc
@@ -252,6 +252,7 @@
   if (!skipping_ && !options_.echo_header.empty()) {
     auto echo = head.headers.Find(options_.echo_header);
     skipping_ = echo.has_value() && *echo != options_.echo_value;
+    result_.may_be_of_earlier_call = !echo && call_number_ > 1;
     if (skipping_) ++client_->stats_.responses_skipped;
   }
   if (skipping_) return;
--- a/Source/Core/Net/http1_client.h
+++ b/Source/Core/Net/http1_client.h
@@ -38,6 +38,9 @@
   /// The body was close-delimited: it had neither a length nor a chunked
   /// encoding and ended with the connection.
   bool ended_by_close = false;
+  /// The response lacks the header of CallOptions::echo_header, and an earlier
+  /// call used the connection, so it may belong to that one.
+  bool may_be_of_earlier_call = false;
   /// With kNotSent: nothing listens at the address.
   bool refused = false;
 };
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -396,6 +396,8 @@
     exchange_->EndStream();
     return Finish("answered", head.status, "");
   }
+  if (response.not_executed && result.may_be_of_earlier_call)
+    return OnUnusableResponse(attempt, "refusal without a request id");
   if (response.not_executed) return OnRefusal(attempt, response, head.status);
   if (IsSuccess(head.status) && !response.is_signed)
     return OnAttemptFailure(attempt, "unsigned response");
