--- a/Source/Core/Membership/rate_limit_relay.cc
+++ b/Source/Core/Membership/rate_limit_relay.cc
@@ -38,9 +38,8 @@
                                                 int64_t now_ms) {
   RemoveExpired(now_ms);
   if (report.is_chosen) chosen_at_ms_ = now_ms;
-  auto [reporter, is_new] =
-      reporters_.try_emplace(sender, now_ms, now_ms - kMinAnswerIntervalMs);
-  reporter->second.reported_at_ms = now_ms;
+  Reporter& reporter = reporters_[sender];
+  reporter.reported_at_ms = now_ms;
   for (const RateLimitReportEntry& it : report.entries)
     Merge(it, report.router_id, now_ms);
   // Without an answer, routers that have not chosen this agent leave it.
@@ -54,9 +53,10 @@
     news.push_back(Summarize(entry, now_ms));
   }
   Answer out{{}, Pack(std::move(news))};
-  int64_t& answered_at_ms = reporter->second.answered_at_ms;
-  if (now_ms - answered_at_ms >= kMinAnswerIntervalMs) {
-    answered_at_ms = now_ms;
+  bool is_due = !reporter.answered_at_ms ||
+                now_ms - *reporter.answered_at_ms >= kMinAnswerIntervalMs;
+  if (is_due) {
+    reporter.answered_at_ms = now_ms;
     out.to_sender = SummarizeAll(now_ms);
     if (!report.is_chosen && out.to_sender.empty())
       out.to_sender.emplace_back();
--- a/Source/Core/Membership/rate_limit_relay.h
+++ b/Source/Core/Membership/rate_limit_relay.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -74,7 +75,7 @@
 
   struct Reporter {
     int64_t reported_at_ms = 0;
-    int64_t answered_at_ms = 0;
+    std::optional<int64_t> answered_at_ms;  // With all limits.
   };
 
   bool IsChosen(int64_t now_ms) const {
