--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -4,7 +4,6 @@
 import asyncio
 import base64
 import contextlib
-import hashlib
 import json
 import os
 import pathlib
@@ -14,6 +13,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import traceback
@@ -305,24 +305,23 @@
         self.reader = self.writer = None
 
 
+def is_free(ip, port):
+    """Returns whether a port is free for TCP and UDP."""
+    try:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(socket.AF_INET, kind) as it:
+                it.bind((ip, port))
+    except OSError:
+        return False
+    return True
+
+
 def free_port(ips, count=1):
-    """Returns the first of `count` ports that are free on all addresses, for TCP and UDP."""
+    """Returns the first of `count` ports that are free on all addresses."""
     for _ in range(200):
         first = random.randrange(20000, 30000)
-        sockets = []
-        try:
-            for ip in ips:
-                for port in range(first, first + count):
-                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                        it = socket.socket(socket.AF_INET, kind)
-                        sockets.append(it)
-                        it.bind((ip, port))
+        if all(is_free(ip, port) for ip in ips for port in range(first, first + count)):
             return first
-        except OSError:
-            continue
-        finally:
-            for it in sockets:
-                it.close()
     raise RuntimeError("no free ports")
 
 
@@ -446,6 +445,8 @@
     """Runs main(deployment, record), which returns whether the rule was broken, and exits."""
     record = Record(folder)
     deployment = None
+    # Ends the processes also when the script itself is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     code = NOT_RUN
     try:
         if not (ROOT / role_command("router")[0]).exists():
@@ -464,181 +465,3 @@
             deployment.end()
     record.add(f"result  {('held', 'broken', 'could not run')[code]}")
     return code
-
-
-class Weights:
-    """Pieces of the versions of one model, as the origin has them."""
-
-    def __init__(self, model, chunks=96, chunk_bytes=24576, layers=16):
-        self.model, self.chunks, self.layers = model, chunks, layers
-        self.chunk_bytes = chunk_bytes
-        self.versions = {}
-
-    def add(self, version):
-        self.versions[version] = [os.urandom(self.chunk_bytes) for _ in range(self.chunks)]
-
-    def digest(self, version, n):
-        return hashlib.sha256(self.versions[version][n]).hexdigest()
-
-
-class Origin(HttpServer):
-    """The origin of weights: manifests and pieces."""
-
-    def __init__(self, ip, weights):
-        super().__init__(ip)
-        self.weights = weights
-
-    async def answer(self, method, target, headers, body):
-        url = urllib.parse.urlsplit(target)
-        query = dict(urllib.parse.parse_qsl(url.query))
-        w = self.weights
-        version = int(query.get("version", max(w.versions)))
-        if version not in w.versions:
-            return make_response(404)
-        if url.path.startswith("/manifest/"):
-            text = {"model": w.model, "version": version, "chunk_bytes": w.chunk_bytes,
-                    "layers": w.layers,
-                    "hashes": [w.digest(version, n) for n in range(w.chunks)]}
-            return make_response(200, [("Content-Type", "application/json")],
-                                 json.dumps(text).encode())
-        return make_response(200, [], w.versions[version][int(query["num"])])
-
-
-class EngineServer(PlainServer):
-    """A model server: staged pieces, load orders, and streams of events."""
-
-    def __init__(self, ip, name, service, zone, record, weights, warm_s=0.3, version=1):
-        super().__init__(ip, name, service, zone, record)
-        self.weights = weights
-        self.warm_s = warm_s
-        self.version = version
-        self.loaded = list(weights.versions[version]) if version else []
-        self.staged = dict(enumerate(weights.versions[version])) if version else {}
-        self.busy = False
-        self.orders = 0
-        self.reads = 0
-        self.spoilt_at = {}   # Piece: when it turned bad.
-        self.bad_layers = []  # Pieces that were bad for over 3 s when the order was accepted.
-        self.on_read = None
-
-    def models(self):
-        if not self.version:
-            return {"models": [], "layers": []}
-        return {"models": [{"name": self.weights.model, "version": self.version, "adapters": []}],
-                "layers": [{"from": 0, "to": self.weights.layers, "version": self.version}]}
-
-    def entry(self):
-        out = super().entry()
-        out.update({"slots": 16, "phase": "unified"})
-        out.update(self.models())
-        return out
-
-    def spoil(self, n):
-        data = bytearray(self.staged[n])
-        data[0] ^= 0xFF
-        self.staged[n] = bytes(data)
-        self.spoilt_at[n] = now()
-
-    async def answer(self, method, target, headers, body):
-        url = urllib.parse.urlsplit(target)
-        query = dict(urllib.parse.parse_qsl(url.query))
-        if url.path == "/report":
-            out = {"phase": "unified", "busy": self.busy, "sequence": self.orders, "waiting": 0,
-                   "running": 0, "kv_in_use": 0, "kv_size": 5072000, "handlers": 0,
-                   "born": self.born, "pace": 1.0}
-            out.update(self.models())
-            return make_response(200, [("Content-Type", "application/json")],
-                                 json.dumps(out).encode())
-        if url.path.startswith("/stage-put/"):
-            n = int(query["num"])
-            self.staged[n] = body
-            self.spoilt_at.pop(n, None)
-            return make_response(200)
-        if url.path.startswith("/stage-get/"):
-            if "num" not in query:
-                return make_response(200, [], json.dumps({"held": sorted(self.staged)}).encode())
-            n = int(query["num"])
-            if n not in self.staged:
-                return make_response(404)
-            data = self.staged[n]
-            if self.on_read is not None:
-                await self.on_read(n)
-            return make_response(200, [], data)
-        if url.path == "/order":
-            return self.order(json.loads(body))
-        return await super().answer(method, target, headers, body)
-
-    def order(self, order):
-        self.record.add(f"order   server={self.name} {json.dumps(order)}")
-        if order["op"] != "start":
-            return make_response(400)
-        if self.busy:
-            return make_response(409)
-        if order["version"] == self.version:
-            return make_response(200)
-        if len(self.staged) < self.weights.chunks:
-            return make_response(409)
-        self.orders += 1
-        self.busy = True
-        self.loaded = [self.staged[n] for n in range(self.weights.chunks)]
-        right = self.weights.versions[order["version"]]
-        self.bad_layers = [n for n in range(self.weights.chunks) if self.loaded[n] != right[n]
-                           and now() - self.spoilt_at.get(n, 0.0) > 3.0]
-        for n in self.bad_layers:
-            self.record.add(f"spoilt  server={self.name} takes piece {n} that turned bad "
-                            f"{now() - self.spoilt_at.get(n, 0.0):.2f} s ago")
-        asyncio.get_running_loop().call_later(self.warm_s, self.finish_load, order["version"])
-        return make_response(202)
-
-    def finish_load(self, version):
-        self.version = version
-        self.busy = False
-        self.record.add(f"loaded  server={self.name} version={version}")
-
-    async def run(self, method, target, headers, body, echo):
-        expected = headers.get("expect-version")
-        if expected is not None and int(expected) != self.version:
-            return make_response(421, echo)
-        if self.busy or not self.version:
-            return make_response(503, echo + [("Not-Executed", "1")])
-        request_id = headers.get("request-id", "")
-        self.runs.append((now(), request_id))
-        self.record.add(f"run     server={self.name} id={request_id} weights={self.version} "
-                        f"bad_pieces={self.bad_layers}")
-        events = "".join(f"id: {n}\ndata: token {n}\n\n" for n in range(1, 6)).encode()
-        return make_response(200, echo + [("Server-Signature", f"s.{request_id}"),
-                                          ("Content-Type", "text/event-stream"),
-                                          ("Weight-Versions", str(self.version))], events)
-
-
-def make_engine_service(name, weights):
-    return {"name": name, "health_path": "/healthz", "max_conns": 204, "protocol": "h1",
-            "tls": False,
-            "runtime": {"slots": 16, "kv_capacity": 317000, "kv_token_bytes": 262144,
-                        "link_mbps": 400000.0, "stride": 5,
-                        "models": [{"name": weights.model, "pace": 1.0, "load_s": 4.0,
-                                    "warm_s": 0.3}],
-                        "megabytes": 149000.0, "adapter_slots": 8, "loads_per_s": 0.0,
-                        "step_ms": 9.27, "per_seq_ms": 0.0232, "context_per_k": 0.0322,
-                        "read_per_s": 20700.0, "pairs_per_m": 1.18, "chunk": 2048,
-                        "report_lag_ms": 200.0, "loads_at_once": 8, "delays": [],
-                        "usual": {"prompt": 979, "answer": 92}, "layers": weights.layers,
-                        "layer_mb": 4090.0, "act_bytes": 16384, "pipe_mbps": 0.0,
-                        "chunks": weights.chunks, "chunk_bytes": weights.chunk_bytes}}
-
-
-def make_origin_service(origin):
-    return {"name": "backoffice", "origin": origin.address, "zone": "anand-hall",
-            "link_mbps": 7.3, "max_conns": 48}
-
-
-def make_stream_route(name, host, prefix, service, **extra):
-    out = {"timeout_ms": 6000, "latency_target_ms": 500, "priority": 1, "sticky": True,
-           "resumable": True, "itl_target_ms": 400}
-    out.update(extra)
-    return make_route(name, host, prefix, service, "streaming", **out)
-
-
-def stream_headers(weights):
-    part = f"{random.getrandbits(32):08x}"
-    return [("Model", weights.model), ("Token-Usage", "800,80"), ("Prefix-Hash", f"{part}:800")]
