--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import stand_ins as lab  # noqa: E402
 
-HOST = "office.example"
+HOST = "shop.example"
 COPY_AGE_S = 2.0
 AWAY_S = 0.5
 REVOKE_S = 5.0
@@ -15,8 +15,8 @@
 
 def make_config(version, keys):
     return {"version": version,
-            "routes": [lab.make_route("r-status", HOST, "/status/", "casedesk")],
-            "services": [{"name": "casedesk", "health_path": "/healthz", "max_conns": 51,
+            "routes": [lab.make_route("r-status", HOST, "/price/", "shop-sync")],
+            "services": [{"name": "shop-sync", "health_path": "/healthz", "max_conns": 51,
                           "protocol": "h1", "tls": False}],
             "limits": lab.make_limits(),
             "tenants": [{"name": "bank", "api_keys": keys, "priority": 1},
@@ -26,8 +26,8 @@
 async def main(deployment, record):
     store = lab.Store(deployment.ip(1))
     await store.listen()
-    servers = [lab.PlainServer(deployment.ip(10 + n), f"casedesk-{n}", "casedesk",
-                               "rajkot-hall", record) for n in range(14)]
+    servers = [lab.PlainServer(deployment.ip(10 + n), f"shop-sync-{n}", "shop-sync",
+                               "hakata-hall", record) for n in range(14)]
     for it in servers:
         await it.listen()
     store.write("op/config", make_config(7, ["revoked-key"]))
@@ -44,7 +44,7 @@
     clients = [lab.Client(deployment.front(ip), record, f"client-{n}")
                for n, ip in enumerate(fronts)]
     for it in clients:
-        _, status, _ = await it.request(HOST, "/status/before", key="revoked-key")
+        _, status, _ = await it.request(HOST, "/price/before", key="revoked-key")
         if status != 200:
             raise RuntimeError("the key is not accepted before it is taken away")
 
@@ -70,13 +70,13 @@
     for wait_s in (REVOKE_S + 1, REVOKE_S + 5, REVOKE_S + 15):
         await asyncio.sleep(acknowledged + wait_s - lab.now())
         for it in clients:
-            request_id, status, _ = await it.request(HOST, "/status/after", key="revoked-key")
+            request_id, status, _ = await it.request(HOST, "/price/after", key="revoked-key")
             ran = any(request_id == run_id for server in servers for _, run_id in server.runs)
             if ran:
                 broken = True
                 record.add(f"broken  {request_id} ran {wait_s:.0f} s after the acknowledgement, "
                            f"status {status}")
-            _, status, _ = await it.request(HOST, "/status/kept", key="kept-key")
+            _, status, _ = await it.request(HOST, "/price/kept", key="kept-key")
             if status != 200:
                 raise RuntimeError("the other key is not served")
     record.add(f"store   revision {store.revision}")
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -7,17 +7,17 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import stand_ins as lab  # noqa: E402
 
-HOST = "office.example"
+HOST = "shop.example"
 CLIENTS = 20
 OLD_LIMIT, NEW_LIMIT = 4096, 16384
 HEADER_BYTES = 6000
-CONFIG_APPLY_S = 2.0
+CONFIG_APPLY_S = 3.0
 
 
 def make_config(version, max_header_bytes):
     return {"version": version,
-            "routes": [lab.make_route("r-file", HOST, "/grievance/", "casedesk", "unsafe")],
-            "services": [{"name": "casedesk", "health_path": "/healthz", "max_conns": 51,
+            "routes": [lab.make_route("r-file", HOST, "/stock/", "shop-sync", "unsafe")],
+            "services": [{"name": "shop-sync", "health_path": "/healthz", "max_conns": 51,
                           "protocol": "h1", "tls": False}],
             "limits": lab.make_limits(max_header_bytes=max_header_bytes),
             "tenants": [{"name": "bank", "api_keys": ["key"], "priority": 1}]}
@@ -26,7 +26,7 @@
 async def main(deployment, record):
     store = lab.Store(deployment.ip(1))
     await store.listen()
-    servers = [lab.PlainServer(deployment.ip(10 + n), f"casedesk-{n}", "casedesk", "rajkot-hall",
+    servers = [lab.PlainServer(deployment.ip(10 + n), f"shop-sync-{n}", "shop-sync", "hakata-hall",
                                record) for n in range(3)]
     for it in servers:
         await it.listen()
@@ -42,7 +42,7 @@
     clients = [lab.Client(deployment.front(front), record, f"client-{n}") for n in range(CLIENTS)]
     total = 0
     for it in clients:
-        _, status, _ = await it.request(HOST, "/grievance/before", "POST", "key", body=b"x")
+        _, status, _ = await it.request(HOST, "/stock/before", "POST", "key", body=b"x")
         total += 1
         if status != 200:
             raise RuntimeError("not served before the change")
@@ -51,7 +51,7 @@
     await asyncio.sleep(CONFIG_APPLY_S + 1)
     denied = 0
     for it in clients:
-        request_id, status, _ = await it.request(HOST, "/grievance/after", "POST", "key",
+        request_id, status, _ = await it.request(HOST, "/stock/after", "POST", "key",
                                                  [("Note", "n" * HEADER_BYTES)], b"x")
         total += 1
         if status == 431:
