Read the deployment again after the store was restored from a copy

Callers saw: a key that was taken away right after the store came back from a copy 2 s old was accepted without end; any other change written in that time was missed too.

Cause: a watch goes on from a revision, but revisions are assigned again after a restore. Once the store has passed the old revision it answers as though nothing were missing. The era that each response states was not read.

Ruled out: a configuration refused as older (no config_refused in the record), an unreadable item (no item_unreadable).

Change: a position is (era, revision), one type. A late response of an earlier era confirms nothing. A store that holds an older configuration than the one in force does not confirm it. Since a full read returns the registrations of the copy, they are ordered by start and number of the write for 10 s: a server that has left or is leaving does not return; one that the copy lacks gets the grace of an outage. Agents order the updates of several routers by position.

--- a/Source/Core/Agent/weight_stager.cc
+++ b/Source/Core/Agent/weight_stager.cc
@@ -14,9 +14,8 @@
 // An order whose response was lost may still be executed, with the chunks that
 // are staged by then, so chunks of other versions are not staged for this long.
 constexpr Milliseconds kOrderUncertainty{3000};
-// An update from an older store revision is accepted after this time without a
-// newer one: a store that was restored from a backup starts at a lower
-// revision.
+// An update from an older position of the store is accepted after this time
+// without a newer one, because a router that is behind is better than none.
 constexpr Milliseconds kUpdateLifetime{5000};
 // Complete copies that are kept for new members and for peers that still fetch
 // the older version.
@@ -53,7 +52,7 @@
 bool WeightStager::ApplyUpdate(const DeploymentUpdate& update) {
   if (update.service != settings_.service) return false;
   SteadyTime now = EventLoop::Now();
-  bool is_stale = update_ && (update.store_revision < update_->store_revision ||
+  bool is_stale = update_ && (update.store_position < update_->store_position ||
                               update.target_weights_version <
                                   update_->target_weights_version);
   if (is_stale && now - update_received_at_ < kUpdateLifetime) return false;
--- a/Source/Core/Fleet/deployment.h
+++ b/Source/Core/Fleet/deployment.h
@@ -130,6 +130,8 @@
   bool leaving = false;
   Milliseconds cold_start_remaining{0};  ///< Until it reaches full speed.
   int64_t start_time_ms = 0;  ///< Unix time of its start; 0 if unknown.
+  /// Number of this write of the registration since the start; 0 if unknown.
+  int64_t write_number = 0;
   std::vector<LoadedWeights> weights;
 };
 
--- a/Source/Core/Fleet/deployment_source.h
+++ b/Source/Core/Fleet/deployment_source.h
@@ -1,5 +1,5 @@
 // Interface to the store that holds the deployment: paged reads and watches
-// over one revision counter.
+// over one revision counter for each era of the store.
 #pragma once
 
 #include <functional>
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Core/Fleet/deployment.h"
+#include "Core/Fleet/store_position.h"
 
 namespace primrosecove {
 
@@ -21,7 +22,9 @@
 struct SourceResult {
   SourceStatus status = SourceStatus::kUnavailable;
   std::vector<DeploymentChange> changes;
-  uint64_t revision = 0;  ///< Of the store when it responded.
+  /// Of the store when it responded. The era is known also of a failed call
+  /// that was answered; the revision only with kOk.
+  StorePosition position;
   std::string next_page;  ///< Token of the next page; empty after the last.
   std::string why;        ///< Reason of a failure, for logs.
 };
@@ -34,9 +37,9 @@
   virtual ~DeploymentSource() = default;
   /// Reads a page of the current deployment; `page` is empty for the first.
   virtual void ReadPage(const std::string& page, Callback callback) = 0;
-  /// Waits at most `timeout` for changes after `revision`. A result without
-  /// changes confirms that there were none when the call was sent.
-  virtual void Watch(uint64_t revision, Milliseconds timeout,
+  /// Waits at most `timeout` for changes after `position`. A result of the same
+  /// era without changes confirms that there were none when the call was sent.
+  virtual void Watch(const StorePosition& position, Milliseconds timeout,
                      Callback callback) = 0;
 };
 
--- a/Source/Core/Fleet/deployment_watcher.cc
+++ b/Source/Core/Fleet/deployment_watcher.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Core/Common/digest.h"
 #include "Core/Common/log.h"
 
 namespace primrosecove {
@@ -19,6 +20,17 @@
 constexpr Milliseconds kMinWatchTimeout{100};
 constexpr Milliseconds kInitialRetryDelay{50};
 constexpr Milliseconds kMaxRetryDelay{400};
+// After a restore of the store all processes read the whole deployment. They
+// begin at random times within this one.
+constexpr Milliseconds kRestoreReadSpread{200};
+
+// Replaces a response that the store gave before it was restored: it confirms
+// nothing.
+SourceResult MakeLateResult() {
+  SourceResult out;
+  out.why = "response of an earlier era";
+  return out;
+}
 
 }  // namespace
 
@@ -29,27 +41,63 @@
       events_(std::move(events)),
       watch_timeout_(std::clamp(max_config_age / kConfirmationsPerMaxAge,
                                 kMinWatchTimeout, kMaxWatchTimeout)),
-      watch_interval_(std::min(kWatchInterval, watch_timeout_)) {}
+      watch_interval_(std::min(kWatchInterval, watch_timeout_)),
+      random_(RandomU64()) {}
+
+DeploymentWatcher::EraOrder DeploymentWatcher::RecordEra(
+    const SourceResult& result) {
+  const std::optional<uint64_t>& era = result.position.era;
+  if (!era || era == era_) return EraOrder::kSame;
+  if (era < era_) {
+    PC_WARN(kConfig,
+            "event=store_response_late era=" << *era << " current=" << *era_);
+    return EraOrder::kEarlier;
+  }
+  bool has_read = snapshot_position_.has_value();
+  std::optional<uint64_t> before = std::exchange(era_, era);
+  if (!has_read) return EraOrder::kSame;
+  ++restores_;
+  PC_WARN(kConfig, "event=store_restored era="
+                       << *era << " before=" << (before ? *before : 0)
+                       << " revision=" << result.position.revision
+                       << " read_up_to=" << position_.revision);
+  events_.on_restored();
+  return EraOrder::kNew;
+}
+
+void DeploymentWatcher::ReadAgain(const SourceResult& result) {
+  bool has_failed = result.status == SourceStatus::kUnavailable ||
+                    result.status == SourceStatus::kUnreadable;
+  if (has_failed) return ScheduleRetry(result.why, [this] { ReadPage(""); });
+  MarkReachable();
+  Milliseconds delay(random_() % kRestoreReadSpread.count());
+  timer_ = loop_->After(delay, [this] { ReadPage(""); });
+}
 
 void DeploymentWatcher::ReadPage(const std::string& page) {
   requested_at_ = BootNow();
   if (page.empty()) {
     snapshot_requested_at_ = requested_at_;
     snapshot_upstreams_.clear();
-    revision_ = 0;
   }
-  source_->ReadPage(page,
-                    [this](SourceResult result) { OnPage(std::move(result)); });
+  bool is_first = page.empty();
+  source_->ReadPage(page, [this, is_first](SourceResult result) {
+    OnPage(is_first, std::move(result));
+  });
 }
 
-void DeploymentWatcher::OnPage(SourceResult result) {
+void DeploymentWatcher::OnPage(bool is_first, SourceResult result) {
+  EraOrder order = RecordEra(result);
+  if (order == EraOrder::kEarlier) result = MakeLateResult();
+  // Pages of two eras make no snapshot.
+  if (order == EraOrder::kNew && !is_first) return ReadAgain(result);
   if (result.status != SourceStatus::kOk) {
     return ScheduleRetry(result.why, [this] { ReadPage(""); });
   }
   MarkReachable();
   // Pages are not read atomically. The watch starts at the revision of the
   // first page, so that changes between pages are delivered.
-  if (revision_ == 0) revision_ = result.revision;
+  if (is_first) snapshot_position_ = {era_, result.position.revision};
   for (const DeploymentChange& change : result.changes) {
     if (const auto* it = std::get_if<UpstreamChange>(&change)) {
       snapshot_upstreams_.insert(it->id);
@@ -67,22 +115,28 @@
                       snapshot_upstreams_.begin(), snapshot_upstreams_.end(),
                       std::inserter(removed, removed.end()));
   for (const std::string& id : removed) Publish(UpstreamChange{id, {}, ""});
+  position_ = *snapshot_position_;
   PC_INFO(kConfig, "event=deployment_read revision="
-                       << revision_
+                       << position_.revision
+                       << " era=" << position_.era.value_or(0)
                        << " upstreams=" << snapshot_upstreams_.size());
-  events_.on_synced(snapshot_requested_at_, revision_);
+  events_.on_synced(snapshot_requested_at_, position_);
 }
 
 void DeploymentWatcher::Watch() {
   requested_at_ = BootNow();
   watch_started_ = EventLoop::Now();
-  source_->Watch(revision_, watch_timeout_,
+  source_->Watch(position_, watch_timeout_,
                  [this](SourceResult result) { OnChanges(std::move(result)); });
 }
 
 void DeploymentWatcher::OnChanges(SourceResult result) {
+  EraOrder order = RecordEra(result);
+  // Changes after the position of another era are not those that were missed.
+  if (order == EraOrder::kNew) return ReadAgain(result);
+  if (order == EraOrder::kEarlier) result = MakeLateResult();
   if (result.status == SourceStatus::kRevisionCompacted) {
-    PC_WARN(kConfig, "event=history_gone revision=" << revision_);
+    PC_WARN(kConfig, "event=history_gone revision=" << position_.revision);
     MarkReachable();
     return ReadPage("");
   }
@@ -95,8 +149,8 @@
   }
   MarkReachable();
   for (const DeploymentChange& change : result.changes) Publish(change);
-  revision_ = std::max(revision_, result.revision);
-  events_.on_synced(requested_at_, revision_);
+  position_ = std::max(position_, {era_, result.position.revision});
+  events_.on_synced(requested_at_, position_);
   auto elapsed = std::chrono::duration_cast<Milliseconds>(EventLoop::Now() -
                                                           watch_started_);
   timer_ = loop_->After(std::max(watch_interval_ - elapsed, Milliseconds(0)),
@@ -119,8 +173,8 @@
   ++failures_;
   if (reachable_) {
     reachable_ = false;
-    PC_WARN(kConfig, "event=store_lost revision=" << revision_ << " why=\""
-                                                  << why << "\"");
+    PC_WARN(kConfig, "event=store_lost revision=" << position_.revision
+                                                  << " why=\"" << why << "\"");
     events_.on_reachable(false);
   }
   Milliseconds delay = std::min(kInitialRetryDelay * failures_, kMaxRetryDelay);
@@ -131,7 +185,7 @@
   failures_ = 0;
   if (reachable_) return;
   reachable_ = true;
-  PC_INFO(kConfig, "event=store_regained revision=" << revision_);
+  PC_INFO(kConfig, "event=store_regained revision=" << position_.revision);
   events_.on_reachable(true);
 }
 
--- a/Source/Core/Fleet/deployment_watcher.h
+++ b/Source/Core/Fleet/deployment_watcher.h
@@ -3,6 +3,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <random>
 #include <set>
 #include <string>
 
@@ -13,15 +15,19 @@
 namespace primrosecove {
 
 /// Reads the whole deployment, then watches it for changes. Reads it again when
-/// the store has compacted the changes in between. Use it on its loop's thread
-/// only.
+/// the store has compacted the changes in between, or has been restored from a
+/// copy. Use it on its loop's thread only.
 class DeploymentWatcher {
  public:
   struct Events {
     std::function<void(const DeploymentChange&)> on_change;
-    /// Every change up to `revision` has been passed to on_change. The
+    /// Every change up to `position` has been passed to on_change. The
     /// deployment was current at `requested_at`, when the request was sent.
-    std::function<void(BootTime requested_at, uint64_t revision)> on_synced;
+    std::function<void(BootTime requested_at, const StorePosition& position)>
+        on_synced;
+    /// The store has been restored from a copy and lacks the latest changes.
+    /// What it holds now is passed to on_change next.
+    std::function<void()> on_restored;
     /// The store became unreachable or reachable.
     std::function<void(bool reachable)> on_reachable;
   };
@@ -33,11 +39,20 @@
                     Milliseconds max_config_age, Events events);
   void Start() { ReadPage(""); }
   bool reachable() const { return reachable_; }
-  uint64_t revision() const { return revision_; }
+  /// Returns the position up to which the deployment was read last.
+  const StorePosition& position() const { return position_; }
+  /// Returns how often the store was found to be restored.
+  uint64_t restores() const { return restores_; }
 
  private:
+  // How the era of a response relates to the latest one.
+  enum class EraOrder { kSame, kEarlier, kNew };
+
+  EraOrder RecordEra(const SourceResult& result);
   void ReadPage(const std::string& page);
-  void OnPage(SourceResult result);
+  // Reads the whole deployment, because `result` is of a new era.
+  void ReadAgain(const SourceResult& result);
+  void OnPage(bool is_first, SourceResult result);
   void CompleteSnapshot();
   void Watch();
   void OnChanges(SourceResult result);
@@ -50,7 +65,10 @@
   Events events_;
   Milliseconds watch_timeout_;
   Milliseconds watch_interval_;
-  uint64_t revision_ = 0;
+  StorePosition position_;
+  std::optional<uint64_t> era_;  // The latest one that a response has stated.
+  std::optional<StorePosition> snapshot_position_;  // Of the first page.
+  uint64_t restores_ = 0;
   BootTime requested_at_{0};           // of the call in progress
   BootTime snapshot_requested_at_{0};  // of the first page
   SteadyTime watch_started_;
@@ -58,6 +76,7 @@
   std::set<std::string> snapshot_upstreams_;  // ids read so far
   bool reachable_ = true;
   int failures_ = 0;
+  std::mt19937_64 random_;
   Timer timer_;
 };
 
--- a/Source/Core/Fleet/fleet_messages.cc
+++ b/Source/Core/Fleet/fleet_messages.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // The first byte identifies the message type; a changed layout gets a new tag.
-constexpr char kDeploymentUpdateTag = 'n';
+constexpr char kDeploymentUpdateTag = 'e';
 constexpr char kStatusTag = 'u';
 constexpr char kCrashReportTag = 'p';
 constexpr char kCrashDigestTag = 'd';
@@ -34,8 +34,14 @@
   MSGPACK_DEFINE_ARRAY(id, upstream, zone, served_version, leaving);
 };
 
+struct StorePositionWire {
+  std::optional<uint64_t> era;
+  uint64_t revision = 0;
+  MSGPACK_DEFINE_ARRAY(era, revision);
+};
+
 struct DeploymentUpdateWire {
-  uint64_t store_revision = 0;
+  StorePositionWire store_position;
   std::string service;
   std::string model;
   uint64_t target_weights_version = 0;
@@ -46,7 +52,7 @@
   uint32_t chunk_bytes = 0;
   EndpointWire origin;
   std::vector<MemberWire> members;
-  MSGPACK_DEFINE_ARRAY(store_revision, service, model, target_weights_version,
+  MSGPACK_DEFINE_ARRAY(store_position, service, model, target_weights_version,
                        target_age_ms, version_bound_ms, warm_up_ms, chunks,
                        chunk_bytes, origin, members);
 };
@@ -165,7 +171,7 @@
 Endpoint FromWire(const EndpointWire& it) { return {it.ip, it.port}; }
 
 DeploymentUpdateWire ToWire(const DeploymentUpdate& it) {
-  DeploymentUpdateWire out{it.store_revision,
+  DeploymentUpdateWire out{{it.store_position.era, it.store_position.revision},
                            it.service,
                            it.model,
                            it.target_weights_version,
@@ -184,7 +190,7 @@
 }
 
 DeploymentUpdate FromWire(const DeploymentUpdateWire& it) {
-  DeploymentUpdate out{it.store_revision,
+  DeploymentUpdate out{{it.store_position.era, it.store_position.revision},
                        it.service,
                        it.model,
                        it.target_weights_version,
@@ -376,7 +382,7 @@
 
 uint64_t DigestOf(const DeploymentUpdate& update) {
   DeploymentUpdate content = update;
-  content.store_revision = 0;
+  content.store_position = StorePosition();
   content.target_age_ms = 0;
   return Sha256(EncodeMessage(content)).Prefix64();
 }
--- a/Source/Core/Fleet/fleet_messages.h
+++ b/Source/Core/Fleet/fleet_messages.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "Core/Common/error.h"
+#include "Core/Fleet/store_position.h"
 #include "Core/Net/endpoint.h"
 
 namespace primrosecove {
@@ -26,7 +27,7 @@
 /// Sent by a router to an agent on request: the deployment as read from the
 /// store, so that agents need no connection to the store.
 struct DeploymentUpdate {
-  uint64_t store_revision = 0;  ///< Orders the updates of several routers.
+  StorePosition store_position;  ///< Orders the updates of several routers.
   std::string service;
   std::string model;
   uint64_t target_weights_version = 0;  ///< Version to serve.
--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -29,6 +29,11 @@
 // A process that goes on writing is alive.
 constexpr Milliseconds kMaxWriteDelay{10'000};
 constexpr int kWritesOfLiveProcess = 3;
+// After a restore, servers write their registrations again within less, and
+// those of servers that have ended lapse.
+constexpr Milliseconds kRestoreSettleTime{10'000};
+// A copy of the store is some seconds old.
+constexpr Milliseconds kEndedRegistrationLifetime{60'000};
 // A process that is leaving ends within less.
 constexpr Milliseconds kLeavingStatementLifetime{600'000};
 
@@ -65,6 +70,14 @@
   auto it = upstreams_.find(change.id);
   if (change.record) {
     bool is_new = it == upstreams_.end();
+    if (IsObsolete(*change.record, now)) {
+      PC_INFO(kMembership, "event=registration_obsolete id="
+                               << change.id
+                               << " write=" << change.record->write_number
+                               << " leaving=" << change.record->leaving
+                               << " known=" << !is_new);
+      return;
+    }
     if (is_new) {
       if (IsLateWrite(*change.record, now)) return;
       RemoveReplaced(*change.record, now);
@@ -111,12 +124,43 @@
                            << change.unusable_reason << "\"");
   if (settled || it->second.IsLeaving()) {
     RecordRegistrationEnd(it->second, now);
+    RecordEnded(it->second.record, now);
     upstreams_.erase(it);
   } else {
     it->second.registration_expires_at = expires_at;
   }
 }
 
+bool UpstreamRegistry::IsObsolete(const UpstreamRecord& record,
+                                  MonotonicTime now) const {
+  // Otherwise the store returns registrations in the order of their writes.
+  if (!store_restored_at_ || now - *store_restored_at_ > kRestoreSettleTime)
+    return false;
+  using Order = std::pair<int64_t, int64_t>;
+  auto is_ordered = [](int64_t start_time_ms, int64_t write_number) {
+    return start_time_ms != 0 && write_number != 0;
+  };
+  if (!is_ordered(record.start_time_ms, record.write_number)) return false;
+  Order order{record.start_time_ms, record.write_number};
+  auto it = upstreams_.find(record.id);
+  if (it != upstreams_.end()) {
+    const UpstreamRecord& known = it->second.record;
+    return is_ordered(known.start_time_ms, known.write_number) &&
+           order < Order{known.start_time_ms, known.write_number};
+  }
+  auto ended = ended_registrations_.find(record.id);
+  return ended != ended_registrations_.end() &&
+         order <=
+             Order{ended->second.start_time_ms, ended->second.write_number};
+}
+
+void UpstreamRegistry::RecordEnded(const UpstreamRecord& record,
+                                   MonotonicTime now) {
+  if (record.start_time_ms == 0 || record.write_number == 0) return;
+  ended_registrations_[record.id] = {record.start_time_ms, record.write_number,
+                                     now};
+}
+
 void UpstreamRegistry::RemoveReplaced(const UpstreamRecord& record,
                                       MonotonicTime now) {
   std::erase_if(upstreams_, [&](const auto& it) {
@@ -130,6 +174,7 @@
     if (!is_replaced) return false;
     if (!it.second.IsLeaving())
       RecordCrash(it.second, CrashEvidence::kReplaced);
+    RecordEnded(other, now);
     replaced_[it.first] = {now, 0};
     return true;
   });
@@ -348,12 +393,16 @@
     if (expired) {
       PC_INFO(kMembership, "event=upstream_expired id=" << it.first);
       RecordRegistrationEnd(it.second, now);
+      RecordEnded(it.second.record, now);
     }
     return expired;
   });
   std::erase_if(leaving_statements_, [now](const auto& it) {
     return now - it.second.made_at > kLeavingStatementLifetime;
   });
+  std::erase_if(ended_registrations_, [now](const auto& it) {
+    return now - it.second.ended_at > kEndedRegistrationLifetime;
+  });
 }
 
 void UpstreamRegistry::UpdateSilence(MonotonicTime now) {
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -108,6 +109,10 @@
   /// registration that has ended may still return.
   void Apply(const UpstreamChange& change, MonotonicTime reachable_since,
              MonotonicTime now);
+  /// Records that the store has been restored from a copy. For a while the
+  /// store may return registrations that are older than what is known here;
+  /// they are ignored.
+  void OnStoreRestored(MonotonicTime now) { store_restored_at_ = now; }
   void RecordStatus(const UpstreamStatus& status, MonotonicTime now);
   void RecordResponseLoad(const std::string& id, const UpstreamLoad& load,
                           MonotonicTime now);
@@ -167,6 +172,16 @@
   // Determines whether the upstream's present process has stated that it is
   // leaving.
   void UpdateStatesLeaving(FleetUpstream* upstream) const;
+  // The last write of a registration that has ended.
+  struct EndedRegistration {
+    int64_t start_time_ms = 0;
+    int64_t write_number = 0;
+    MonotonicTime ended_at{0};
+  };
+  // Whether a registration is older than the known one, or not newer than one
+  // that has ended.
+  bool IsObsolete(const UpstreamRecord& record, MonotonicTime now) const;
+  void RecordEnded(const UpstreamRecord& record, MonotonicTime now);
   // An upstream whose address another process has taken.
   struct ReplacedUpstream {
     MonotonicTime at{0};
@@ -186,7 +201,9 @@
 
   std::map<std::string, FleetUpstream> upstreams_;
   std::map<std::string, ReplacedUpstream> replaced_;
-  std::map<std::string, LeavingStatement> leaving_statements_;  // By id.
+  std::map<std::string, LeavingStatement> leaving_statements_;    // By id.
+  std::map<std::string, EndedRegistration> ended_registrations_;  // By id.
+  std::optional<MonotonicTime> store_restored_at_;
   std::vector<UpstreamCrash> crashes_;
   uint64_t silences_ = 0;
 };
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -139,9 +139,10 @@
                                                     settings.store_endpoint);
   DeploymentWatcher::Events events;
   events.on_change = [this](const DeploymentChange& it) { ApplyChange(it); };
-  events.on_synced = [this](BootTime requested_at, uint64_t revision) {
-    OnSynced(requested_at, revision);
+  events.on_synced = [this](BootTime requested_at, const StorePosition&) {
+    OnSynced(requested_at);
   };
+  events.on_restored = [this] { OnStoreRestored(); };
   events.on_reachable = [this](bool it) { OnStoreReachable(it); };
   watcher_ = std::make_unique<DeploymentWatcher>(
       loop_, source_.get(), settings.bounds.revoke, std::move(events));
@@ -222,6 +223,7 @@
 void FleetRouter::ApplyConfig(const FleetConfig& config) {
   uint64_t version =
       state_.routes == nullptr ? 0 : state_.routes->config().version;
+  stored_config_version_ = config.version;
   if (state_.routes != nullptr && config.version <= version) {
     if (config.version < version) {
       PC_ERROR(kConfig, "event=config_refused version="
@@ -240,13 +242,28 @@
                        << " workspaces=" << config.workspaces.size());
 }
 
-void FleetRouter::OnSynced(BootTime requested_at, uint64_t) {
+void FleetRouter::OnSynced(BootTime requested_at) {
   initial_read_done_ = true;
-  if (state_.routes != nullptr) state_.freshness.Confirm(requested_at);
+  // A store that lacks the configuration in force may lack later ones, too.
+  bool is_behind = stored_config_version_ < config_version();
+  if (is_behind != std::exchange(is_store_behind_, is_behind)) {
+    PC_WARN(kConfig, "event=store_behind behind="
+                         << is_behind << " stored=" << stored_config_version_
+                         << " in_force=" << config_version());
+  }
+  if (state_.routes != nullptr && !is_behind)
+    state_.freshness.Confirm(requested_at);
   if (update_due_ || remote_update_due_)
     SendDeploymentDigests(remote_update_due_);
 }
 
+void FleetRouter::OnStoreRestored() {
+  // Registrations that the copy lacks are written again.
+  last_store_return_ = state_.Now();
+  state_.registry.OnStoreRestored(last_store_return_);
+  stored_config_version_ = 0;
+}
+
 void FleetRouter::OnStoreReachable(bool reachable) {
   if (reachable) {
     last_store_return_ = state_.Now();
@@ -305,7 +322,7 @@
     if (!service.engine || service.engine->models.empty()) continue;
     const EngineModel& model = service.engine->models.front();
     DeploymentUpdate update;
-    update.store_revision = watcher_->revision();
+    update.store_position = watcher_->position();
     update.service = name;
     update.model = model.name;
     // Without a target version, engines serve their first one.
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -41,6 +41,10 @@
   uint64_t config_version() const {
     return state_.routes == nullptr ? 0 : state_.routes->config().version;
   }
+  /// Returns how often the store was found to be restored from a copy.
+  uint64_t store_restores() const {
+    return watcher_ == nullptr ? 0 : watcher_->restores();
+  }
   const FleetCounters& counters() const { return state_.counters; }
   const UpstreamRegistry& registry() const { return state_.registry; }
   /// Address for datagrams from agents.
@@ -62,7 +66,8 @@
   void HandleReadiness(std::shared_ptr<Http1Exchange> exchange);
   void ApplyChange(const DeploymentChange& change);
   void ApplyConfig(const FleetConfig& config);
-  void OnSynced(BootTime requested_at, uint64_t revision);
+  void OnSynced(BootTime requested_at);
+  void OnStoreRestored();
   void OnStoreReachable(bool reachable);
   void HandleDatagram(std::string_view bytes, const Endpoint& from);
   void SendDeploymentDigests(bool to_all_zones);
@@ -90,6 +95,10 @@
   std::unique_ptr<UdpSocket> peer_socket_;
   RelayChoice relay_choice_;
   bool initial_read_done_ = false;
+  /// Version of the configuration that the store holds, which is older than
+  /// the one in force after a restore; 0 if it holds none.
+  uint64_t stored_config_version_ = 0;
+  bool is_store_behind_ = false;    ///< As logged last.
   bool update_due_ = false;         ///< For the agents of the own zone.
   bool remote_update_due_ = false;  ///< For all agents.
   bool was_ready_ = false;
--- a/Source/Core/Router/fleet_router_metrics.cc
+++ b/Source/Core/Router/fleet_router_metrics.cc
@@ -66,6 +66,10 @@
                         return static_cast<double>(state_.registry.silences());
                       });
   AddConnectionMetrics();
+  metrics_.AddCounter(
+      "primrosecove_router_store_restores_total",
+      "Times that the store was found to be restored from a copy", {},
+      [this] { return static_cast<double>(store_restores()); });
   metrics_.AddGauge(
       "primrosecove_router_config_version",
       "Version of the configuration in force", {}, [this] {
--- a/Source/UnitTests/Agent/fleet_agent_test.cc
+++ b/Source/UnitTests/Agent/fleet_agent_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "../test_support.h"
+#include "Core/Agent/weight_stager.h"
 #include "Core/Fleet/fleet_ports.h"
 #include "Core/Net/udp_socket.h"
 #include "platform/testing/engine_stand_in.h"
@@ -81,7 +82,7 @@
   }
 
   void SendUpdate() {
-    ++update.store_revision;
+    ++update.store_position.revision;
     std::string datagram = EncodeMessage(update);
     for (const FleetMember& it : update.members) {
       router->Send(datagram, {it.upstream.ip, kPeerPort});
@@ -229,12 +230,45 @@
   fleet.RunUntilServing(3);
   // A stale update from a lagging router changes nothing.
   fleet.update.target_weights_version = 2;
-  fleet.update.store_revision -= 3;
+  fleet.update.store_position.revision -= 3;
   fleet.SendUpdate();
   for (int i = 0; i < 10; ++i) fleet.loop.RunOnce(Milliseconds(20));
   for (auto& it : fleet.engines) CHECK(it->version() == 3);
 }
 
+// Guards against an agent that follows a router which has not noticed that the
+// store was restored, because that router has read a higher revision.
+TEST_CASE("updates of several routers are ordered by era, then revision",
+          "[burst][store-restore]") {
+  struct Row {
+    const char* name;
+    StorePosition position;
+    bool applies;
+  };
+  const Row rows[] = {
+      {"later revision", {2, 8}, true},
+      {"earlier revision", {2, 6}, false},
+      {"later revision of an earlier era", {1, 9}, false},
+      {"earlier revision of a later era", {3, 1}, true},
+      {"no era", {std::nullopt, 9}, false},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    EventLoop loop;
+    Http1Client client(&loop);
+    platform::LocalEngineClient engine(&client, TestEndpoint(115, 1));
+    HostSettings settings;
+    settings.service = "llm";
+    WeightStager stager(&loop, &client, &engine, settings);
+    DeploymentUpdate update;
+    update.service = "llm";
+    update.store_position = {2, 7};
+    REQUIRE(stager.ApplyUpdate(update));
+    update.store_position = row.position;
+    CHECK(stager.ApplyUpdate(update) == row.applies);
+  }
+}
+
 TEST_CASE("a transfer completes after a peer that holds chunks stops",
           "[burst]") {
   FleetFixture fleet(90, 3, 1);
--- a/Source/UnitTests/Fleet/update_source_test.cc
+++ b/Source/UnitTests/Fleet/update_source_test.cc
@@ -102,7 +102,7 @@
   update.service = "llm";
   update.members.push_back({"u1", {"10.0.0.1", 1}, "z0", 1, false});
   uint64_t digest = DigestOf(update);
-  update.store_revision = 7;
+  update.store_position = {2, 7};
   update.target_age_ms = 9;
   CHECK(DigestOf(update) == digest);
   DeploymentUpdate changed = update;
