Apply the limit on heads to open connections

Callers saw: after a configuration had raised max_header_bytes, proper requests on connections of before got 431 for as long as these lived. A lowered limit did not reach them either.

Cause: a connection took its limits anew for each request, but its parser had been given the limit on heads when the connection was accepted.

Ruled out: a configuration that isn't in force (new connections are served), a limit that adds up over requests (the second request is affected).

Change: the parser gets the limit at the beginning of each message.

The new table sets each limit by a configuration, changes it while a connection is open, and sends on that one and a new one. Before the change "larger head" got 431 for 200 and "smaller head" 200 for 431; the rows on bodies and times passed.

--- a/Source/Core/Net/http1_parser.h
+++ b/Source/Core/Net/http1_parser.h
@@ -43,6 +43,10 @@
   Http1Parser(const Http1Parser&) = delete;
   Http1Parser& operator=(const Http1Parser&) = delete;
 
+  /// Sets the limit on the heads of the messages that begin from now on.
+  void SetMaxHeadBytes(uint32_t max_head_bytes) {
+    max_head_bytes_ = max_head_bytes;
+  }
   /// Treats all messages as having no body, whatever their header fields state;
   /// for the responses to HEAD requests.
   void SkipBodies() { skip_body_ = true; }
--- a/Source/Core/Net/http1_server.cc
+++ b/Source/Core/Net/http1_server.cc
@@ -212,6 +212,7 @@
     if (!parser_->in_message()) {
       message_start_ = EventLoop::Now();
       message_limits_ = server_->limits_;
+      parser_->SetMaxHeadBytes(message_limits_.max_head_bytes);
     }
     auto* data = reinterpret_cast<char*>(evbuffer_pullup(in, n));
     size_t used = parser_->Parse({data, n});
