End requests that outlast a planned stop with a response

Callers saw: a request that a stopping router had passed on, longer than the rest of the grace, lost its connection without a response, requests that may run only once among them.

Cause: a request kept its own deadline, beyond the end of the process.

Ruled out: bodies that are complete after the serving time (503, not run) and requests on kept connections that close (existing tests).

Change: at SIGTERM all responses are due 400 ms before the end of the grace. This bounds the deadline of running and later requests, which upstreams are told. What is not expected to fit is refused as not run before its first attempt or a retry; at the due time what may have run gets 504, a begun stream is aborted.

--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -58,18 +58,39 @@
   Milliseconds time_limit = route_->timeout;
   if (fields_.deadline) time_limit = std::min(time_limit, *fields_.deadline);
   deadline_ = arrived_at_ + time_limit;
+  if (state_->responses_due_at)
+    deadline_ = std::min(deadline_, *state_->responses_due_at);
+  if (!FitsBeforeStop())
+    return Refuse("router is stopping", kRetryElsewhereDelay);
   caller_wait_ = state_->wait_estimator.RecordAndEstimate(
       route_->host + route_->prefix, fields_.deadline, arrived_at_);
+  StartDeadlineTimer();
   std::weak_ptr<FleetRequest> weak = weak_from_this();
-  deadline_timer_ = state_->loop->After(time_limit, [weak] {
-    if (auto self = weak.lock()) self->HandleTimeout();
-  });
   exchange_->OnDisconnect([weak] {
     if (auto self = weak.lock()) self->HandleDisconnect();
   });
   Dispatch();
 }
 
+void FleetRequest::StartDeadlineTimer() {
+  std::weak_ptr<FleetRequest> weak = weak_from_this();
+  Milliseconds time = std::max(TimeLeft(), Milliseconds(0));
+  deadline_timer_ = state_->loop->After(time, [weak] {
+    if (auto self = weak.lock()) self->HandleTimeout();
+  });
+}
+
+void FleetRequest::LimitTime(MonotonicTime deadline) {
+  if (ended_ || deadline >= deadline_) return;
+  deadline_ = deadline;
+  StartDeadlineTimer();
+}
+
+bool FleetRequest::FitsBeforeStop() const {
+  return !state_->responses_due_at ||
+         EstimateServiceTime(MeanServiceTime()) <= TimeLeft();
+}
+
 bool FleetRequest::ResolveRoute() {
   const HttpRequest& request = exchange_->request();
   route_ =
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -32,6 +32,8 @@
   /// Sends the request to a second upstream as well if the current one is
   /// silent or known to be gone and the request may be retried.
   void CheckUpstream(MonotonicTime now);
+  /// Ends the request at `deadline` if it has not ended by then.
+  void LimitTime(MonotonicTime deadline);
   /// Does not count `time` as silence of the upstreams, because this process
   /// has not read from its connections meanwhile.
   void ExcuseSilence(Milliseconds time);
@@ -135,6 +137,10 @@
   void HandleTimeout();
   void HandleDisconnect();
   Milliseconds TimeLeft() const;
+  // Whether an execution that begins now is expected to end before this router
+  // does.
+  bool FitsBeforeStop() const;
+  void StartDeadlineTimer();
 
   void Refuse(const char* why, std::optional<Milliseconds> retry_after);
   void Deny(int status, std::string_view reason, const char* why);
--- a/Source/Core/Router/fleet_request_failure.cc
+++ b/Source/Core/Router/fleet_request_failure.cc
@@ -103,7 +103,8 @@
     return std::nullopt;
   }
   if (MayHaveExecuted() && !route_->IsRetryable()) return std::nullopt;
-  if (TimeLeft() <= Milliseconds(0) || IsBlocked()) return std::nullopt;
+  if (TimeLeft() <= Milliseconds(0) || !FitsBeforeStop() || IsBlocked())
+    return std::nullopt;
   MonotonicTime now = state_->Now();
   Placement placement = ChoosePlacement(now);
   if (placement.upstream == nullptr) return std::nullopt;
@@ -321,11 +322,14 @@
   if (ended_) return;
   CancelAttempts(service_->engine ? UpstreamVerdict::kUnknown
                                   : UpstreamVerdict::kFailed);
+  bool by_stop = state_->responses_due_at == deadline_;
+  const char* why =
+      by_stop ? "router is stopping" : "request deadline exceeded";
   if (!exchange_->started() &&
       execution_state_ == ExecutionState::kMayHaveExecuted) {
-    return Fail(504, "Gateway Timeout", "request deadline exceeded");
+    return Fail(504, "Gateway Timeout", why);
   }
-  GiveUp("request deadline exceeded", kRetryElsewhereDelay);
+  GiveUp(why, kRetryElsewhereDelay);
 }
 
 void FleetRequest::HandleDisconnect() {
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -37,9 +37,10 @@
 // The load balancer probes once a second and removes a host after two failures.
 // Until then new connections still arrive and must be served.
 constexpr Milliseconds kStopServeTime{2600};
-// Reserved for the process's exit after its last response, at the end of the
-// grace period.
+// Reserved at the end of the grace period for the delivery of the last
+// responses, and within it for the process's exit.
 constexpr Milliseconds kStopMargin{400};
+constexpr Milliseconds kExitMargin{150};
 // Each request needs a connection to its caller and one to an upstream, and the
 // platform reserves 200 descriptors for files.
 constexpr size_t kReservedDescriptors = 250;
@@ -465,6 +466,12 @@
   state_.stopping = true;
   stop_started_at_ = state_.Now();
   last_busy_at_ = stop_started_at_;
+  // Requests that are still at work then get a response rather than a closed
+  // connection.
+  state_.responses_due_at =
+      stop_started_at_ + state_.settings.bounds.stop_grace - kStopMargin;
+  for (auto& [key, request] : state_.requests)
+    request->LimitTime(*state_.responses_due_at);
   caller_server_->BeginDrain();
   PC_INFO(kMain, "event=stopping in_flight=" << caller_server_->in_flight());
   stop_check_timer_ = loop_->Every(kStopCheckPeriod, [this] { CheckStop(); });
@@ -480,11 +487,16 @@
   if (caller_server_->in_flight() > 0 || caller_server_->unsent_bytes() > 0) {
     last_busy_at_ = state_.Now();
   }
-  bool late = elapsed > state_.settings.bounds.stop_grace - kStopMargin;
+  bool late = elapsed > state_.settings.bounds.stop_grace - kExitMargin;
   // The last responses may still be in transit until their callers have closed.
   bool done = caller_server_->connections() == 0 ||
               state_.Now() - last_busy_at_ > kLingerTime;
   if (!done && !late) return;
+  if (!done) {
+    PC_WARN(kRouter, "event=stop_late in_flight="
+                         << caller_server_->in_flight()
+                         << " unsent_bytes=" << caller_server_->unsent_bytes());
+  }
   loop_->Stop();
 }
 
--- a/Source/Core/Router/fleet_state.h
+++ b/Source/Core/Router/fleet_state.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -72,6 +73,9 @@
   std::mt19937_64 random;
   SteadyTime started_at = EventLoop::Now();
   bool stopping = false;
+  /// While stopping: when the responses must be complete, before the process
+  /// is killed.
+  std::optional<MonotonicTime> responses_due_at;
   /// New requests are refused; the process exits soon.
   bool closing = false;
 
--- a/Source/UnitTests/Router/fleet_router_fixture.h
+++ b/Source/UnitTests/Router/fleet_router_fixture.h
@@ -36,7 +36,8 @@
 class RouterFixture {
  public:
   explicit RouterFixture(int group,
-                         Milliseconds version_bound = Milliseconds(8000))
+                         Milliseconds version_bound = Milliseconds(8000),
+                         Milliseconds stop_grace = Milliseconds(8000))
       : group_(group), store(&loop) {
     if (!store.Listen(EndpointAt(1))) FAIL("store");
     store.Put("op/config", MakeConfigJson(1).dump());
@@ -59,6 +60,7 @@
     settings.bounds.revoke = Milliseconds(1500);
     settings.bounds.config_apply = Milliseconds(600);
     settings.bounds.version = version_bound;
+    settings.bounds.stop_grace = stop_grace;
     callers = settings.caller_endpoint;
     router =
         std::make_unique<FleetRouter>(&loop, FleetRouterOptions{}, settings);
