--- a/Source/UnitTests/Router/upstream_response_test.cc
+++ b/Source/UnitTests/Router/upstream_response_test.cc
@@ -206,5 +206,54 @@
   }
 }
 
+// Guards against a response that the upstream cut, in its head above all, and
+// that reaches the caller framed as a complete one with an empty or short body.
+TEST_CASE("a response that is cut anywhere reaches no caller as complete",
+          "[fleet]") {
+  struct Row {
+    const char* name;
+    const char* path;
+    std::string head;
+    std::string body;
+    bool ends_by_close;  // A cut of its body can't be told from its end.
+  };
+  const std::string signed_head =
+      "HTTP/1.1 200 OK\r\nServer-Signature: s\r\nX-Last: 1\r\n";
+  const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  const std::string with_length =
+      signed_head + "Content-Length: " + std::to_string(events.size()) +
+      "\r\n\r\n";
+  const Row rows[] = {
+      {"runs once, length", "/raw-once/", with_length, events, false},
+      {"runs once, no length", "/raw-once/", signed_head + "\r\n", events,
+       true},
+      {"repeatable, length", "/raw-twice/", with_length, events, false},
+      {"repeatable, no length", "/raw-twice/", signed_head + "\r\n", events,
+       true},
+      {"stream, length", "/raw-stream/", with_length, events, false},
+      {"resumable stream, length", "/raw-resumed/", with_length, events, false},
+      {"resumable stream, no length", "/raw-resumed/", signed_head + "\r\n",
+       events, true},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    RawUpstreams upstreams(118, 1);
+    std::string whole = row.head + row.body;
+    size_t last = row.ends_by_close ? row.head.size() : whole.size();
+    for (size_t n = 0; n < last; n += 3) {
+      CAPTURE(n);
+      // Also for a second attempt.
+      for (int i = 0; i < 2; ++i)
+        upstreams.servers[0]->Add({whole.substr(0, n), End::kClose});
+      int requests = upstreams.Requests();
+      CallResult result =
+          upstreams.fixture.SendAndWait(row.path + std::to_string(n));
+      CHECK(upstreams.Requests() > requests);
+      bool is_success = result.head && IsSuccess(result.head->status);
+      CHECK_FALSE((result.end == CallEnd::kComplete && is_success));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace primrosecove
