Answer unfinished requests before the product's own router ends

Callers saw: a request that was unfinished at the drain timeout lost its connection without a response.

Cause: the daemon stops its loop at that time, whatever is in progress.

Change: a stopping router makes all responses due 400 ms before its drain timeout, for running and later requests; after that it refuses as not run.

--- a/Source/Core/Router/request_task.cc
+++ b/Source/Core/Router/request_task.cc
@@ -61,8 +61,7 @@
   exchange_->OnDrained([self] {
     if (self->call_) self->call_->SetReading(true);
   });
-  deadline_timer_ =
-      context_.loop->After(request_.timeout, [self] { self->OnDeadline(); });
+  StartDeadlineTimer();
   const HttpRequest& req = exchange_->request();
   fingerprint_ = RequestFingerprint(request_.workspace, req.target, req.body);
   if (IsBlocked()) return RespondBlocked();
@@ -70,6 +69,17 @@
   StartAttempt();
 }
 
+void RequestTask::StartDeadlineTimer() {
+  deadline_timer_ = context_.loop->After(
+      TimeLeft(), [self = shared_from_this()] { self->OnDeadline(); });
+}
+
+void RequestTask::LimitTime(SteadyTime deadline) {
+  if (finished_ || deadline >= deadline_) return;
+  deadline_ = deadline;
+  StartDeadlineTimer();
+}
+
 Milliseconds RequestTask::TimeLeft() const {
   auto left =
       std::chrono::duration_cast<Milliseconds>(deadline_ - EventLoop::Now());
--- a/Source/Core/Router/request_task.h
+++ b/Source/Core/Router/request_task.h
@@ -58,6 +58,9 @@
               CallerRequest request, std::shared_ptr<HttpExchange> exchange,
               DoneCallback on_done);
   void Start();
+  /// Ends the request at `deadline` if it has not ended by then; its callers
+  /// and upstreams are told that its outcome is unknown. Call it after Start().
+  void LimitTime(SteadyTime deadline);
 
  private:
   void StartAttempt();
@@ -82,6 +85,7 @@
   void EndAttempt(bool success);
   void Finish(std::string_view outcome, int status);
   Milliseconds TimeLeft() const;
+  void StartDeadlineTimer();
 
   RequestContext context_;
   std::shared_ptr<const Configuration> config_;
--- a/Source/Core/Router/router.cc
+++ b/Source/Core/Router/router.cc
@@ -12,6 +12,9 @@
 
 constexpr double kMaxSavedRetries = 20;
 constexpr Milliseconds kRetryAfterWhenStarting{1000};
+// Reserved at the end of the drain timeout for the delivery of the last
+// responses.
+constexpr Milliseconds kStopMargin{400};
 
 std::string SecondsText(Milliseconds ms) {
   constexpr int64_t kMsPerSecond = 1000;
@@ -37,7 +40,7 @@
   Daemon::Hooks hooks;
   hooks.on_config = [this] { OnConfig(); };
   hooks.on_view = [this] { ConfigureLimits(); };
-  hooks.on_stop = [this] { server_.StopAccepting(); };
+  hooks.on_stop = [this] { OnStop(); };
   hooks.is_idle = [this] { return server_.in_flight() == 0; };
   hooks.status = [this] { return StatusJson(); };
   daemon_.SetHooks(std::move(hooks));
@@ -50,6 +53,15 @@
   return outcome::success();
 }
 
+void Router::OnStop() {
+  server_.StopAccepting();
+  responses_due_at_ =
+      EventLoop::Now() + daemon_.settings().drain_timeout - kStopMargin;
+  for (const auto& [key, weak] : tasks_) {
+    if (auto task = weak.lock()) task->LimitTime(*responses_due_at_);
+  }
+}
+
 void Router::OnConfig() {
   config_ = daemon_.active_config();
   upstream_table_.Prune(config_->config);
@@ -94,6 +106,10 @@
     return Refuse(exchange, kServiceUnavailable, "no configuration yet",
                   kRetryAfterWhenStarting);
   }
+  if (responses_due_at_ && EventLoop::Now() >= *responses_due_at_) {
+    return Refuse(exchange, kServiceUnavailable, "the router is stopping",
+                  kRetryAfterWhenStarting);
+  }
   CallerRequest request;
   RequestError error;
   if (!ParseCallerRequest(config_->config, exchange->request(), &request,
@@ -124,7 +140,10 @@
       [this, tokens](const RequestSummary& summary) {
         OnRequestDone(summary, tokens);
       });
+  std::erase_if(tasks_, [](const auto& it) { return it.second.expired(); });
+  tasks_[task.get()] = task;
   task->Start();
+  if (responses_due_at_) task->LimitTime(*responses_due_at_);
 }
 
 void Router::OnRequestDone(const RequestSummary& summary, uint32_t tokens) {
--- a/Source/Core/Router/router.h
+++ b/Source/Core/Router/router.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "Core/Control/daemon.h"
@@ -45,6 +46,8 @@
 
  private:
   void OnConfig();
+  // Makes all responses due before the daemon's drain timeout.
+  void OnStop();
   void ConfigureLimits();
   void HandleRequest(std::shared_ptr<HttpExchange> exchange);
   void Refuse(const std::shared_ptr<HttpExchange>& exchange, int status,
@@ -65,6 +68,8 @@
   size_t router_count_ = 0;
   std::map<std::string, ServiceCounters> service_counters_;
   uint64_t refused_ = 0;
+  std::map<const RequestTask*, std::weak_ptr<RequestTask>> tasks_;
+  std::optional<SteadyTime> responses_due_at_;  // While stopping.
 };
 
 }  // namespace primrosecove
--- a/Source/UnitTests/Router/router_test.cc
+++ b/Source/UnitTests/Router/router_test.cc
@@ -57,6 +57,7 @@
   HttpClient caller;
   std::vector<std::unique_ptr<HttpCall>> calls;
   std::vector<RequestSummary> summaries;
+  std::weak_ptr<RequestTask> last_task;
   Endpoint router_endpoint;
 
   explicit RequestTaskFixture(int n)
@@ -105,6 +106,7 @@
     auto task = std::make_shared<RequestTask>(
         context, config, std::move(request), exchange,
         [this](const RequestSummary& it) { summaries.push_back(it); });
+    last_task = task;
     task->Start();
   }
 
@@ -362,6 +364,31 @@
   CHECK(pending->outcome() == kOutcomeUnknown);
 }
 
+// Guards against a stopping router that closes the connections of requests that
+// outlast its drain timeout without a response.
+TEST_CASE("a request whose time is cut short gets a response", "[router]") {
+  for (bool is_streaming : {false, true}) {
+    INFO(is_streaming);
+    RequestTaskFixture fixture(is_streaming ? 14 : 15);
+    auto pending = fixture.Send("GET", "/shop/stock", "", "60000");
+    auto agent = fixture.AwaitAgentRequest(1);
+    if (is_streaming) {
+      agent->StartStream(200, OutcomeHeaders(kOutcomeResponded));
+      agent->Write("half");
+      for (int i = 0; i < 5; ++i) fixture.loop.RunOnce(Milliseconds(5));
+    }
+    SteadyTime begin = EventLoop::Now();
+    fixture.last_task.lock()->LimitTime(begin + Milliseconds(50));
+    fixture.Await([&] { return pending->ended(); });
+    CHECK(EventLoop::Now() - begin < Milliseconds(5000));
+    if (is_streaming) {
+      CHECK(pending->failure);
+    } else {
+      CHECK(pending->outcome() == kOutcomeUnknown);
+    }
+  }
+}
+
 TEST_CASE("a caller's disconnect cancels its request", "[router]") {
   RequestTaskFixture fixture(7);
   auto pending = fixture.Send("GET", "/shop/stock");
--- a/Tests/product_test.py
+++ b/Tests/product_test.py
@@ -3,10 +3,15 @@
 import json
 import os
 import pathlib
+import select
 import signal
+import socket
 import subprocess
 import sys
+import threading
 import unittest
+import urllib.error
+import urllib.request
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "Tools"))
 from fleet import ROOT, Fleet, build_folder, has_exited, wait_for  # noqa: E402
@@ -74,7 +79,7 @@
         self.engine_process = self.start_lab(
             "engines", "engine", "--listen", ",".join(upstreams[:ENGINES]), "--record",
             self.work / "engines.jsonl", *engine_flags)
-        self.start_lab("services", "service", "--listen", ",".join(upstreams[ENGINES:]), "--record",
+        self.services_process = self.start_lab("services", "service", "--listen", ",".join(upstreams[ENGINES:]), "--record",
                        self.work / "services.jsonl")
         self.start_all()
         self.write_configuration("a")
@@ -212,6 +217,51 @@
             wait_for("the callers", lambda: has_exited(load))
             self.assert_guarantees_kept(it)
 
+    def test_requests_that_outlast_a_stop_get_a_response(self):
+        """A stopping router must not close a request's connection without a response."""
+        with Deployment(41) as it:
+            it.set_up()
+            router = it.host("router-1")
+            router.process.terminate()
+            router.process.wait()
+            router.extra_flags = ["--drain-timeout-s", "2"]
+            it.start(router)
+            wait_for("the router", lambda: it.status(router) is not None)
+            it.wait_serving("a")
+            it.services_process.kill()
+            it.services_process.wait()
+            # Servers that accept a request and never respond.
+            listeners = []
+            for agent in it.agents[ENGINES:]:
+                ip, port = agent.upstream.rsplit(":", 1)
+                listeners.append(socket.create_server((ip, int(port))))
+            request = urllib.request.Request(
+                f"http://{router.address(7000)}/shop/orders/1", data=b"x", method="POST",
+                headers={"X-Workspace": "w", "X-Request-Timeout-Ms": "60000"})
+            responses = []
+
+            def send():
+                try:
+                    with urllib.request.urlopen(request, timeout=30) as response:
+                        responses.append((response.status, ""))
+                except urllib.error.HTTPError as error:
+                    responses.append((error.code, error.headers["X-Primrosecove-Outcome"]))
+                except OSError as error:
+                    responses.append((0, str(error)))
+
+            caller = threading.Thread(target=send)
+            caller.start()
+            readable, _, _ = select.select(listeners, [], [], 30)
+            self.assertTrue(readable, responses)
+            connection, _ = readable[0].accept()
+            self.assertIn(b"/shop/orders/1", connection.recv(4096))
+            router.process.send_signal(signal.SIGTERM)
+            self.assertEqual(router.process.wait(timeout=20), 0)
+            caller.join()
+            for each in [connection, *listeners]:
+                each.close()
+            self.assertEqual(responses, [(502, "unknown")])
+
     def test_killed_processes_keep_guarantees(self):
         with Deployment(33) as it:
             it.set_up()
