Apply reloaded bounds to all parts of a router

After a reload of the settings, the bounds for keys, versions and retries, the interval of watches and the time for which a count of routers is valid stayed the old ones.

Cause: these parts take the bounds by value in their constructors.

Change: a reload passes the bounds to each of them. Versions keep when they were learned rather than a time computed from the bound. A retry budget whose window changes begins its counts again with the share that applies after a start.

--- a/Source/Core/Fleet/deployment_watcher.cc
+++ b/Source/Core/Fleet/deployment_watcher.cc
@@ -39,10 +39,15 @@
     : loop_(loop),
       source_(source),
       events_(std::move(events)),
-      watch_timeout_(std::clamp(max_config_age / kConfirmationsPerMaxAge,
-                                kMinWatchTimeout, kMaxWatchTimeout)),
-      watch_interval_(std::min(kWatchInterval, watch_timeout_)),
-      random_(RandomU64()) {}
+      random_(RandomU64()) {
+  SetMaxConfigAge(max_config_age);
+}
+
+void DeploymentWatcher::SetMaxConfigAge(Milliseconds max_config_age) {
+  watch_timeout_ = std::clamp(max_config_age / kConfirmationsPerMaxAge,
+                              kMinWatchTimeout, kMaxWatchTimeout);
+  watch_interval_ = std::min(kWatchInterval, watch_timeout_);
+}
 
 DeploymentWatcher::EraOrder DeploymentWatcher::RecordEra(
     const SourceResult& result) {
--- a/Source/Core/Fleet/deployment_watcher.h
+++ b/Source/Core/Fleet/deployment_watcher.h
@@ -38,6 +38,8 @@
   DeploymentWatcher(EventLoop* loop, DeploymentSource* source,
                     Milliseconds max_config_age, Events events);
   void Start() { ReadPage(""); }
+  /// Sets the maximum age from the next watch on.
+  void SetMaxConfigAge(Milliseconds max_config_age);
   bool reachable() const { return reachable_; }
   /// Returns the position up to which the deployment was read last.
   const StorePosition& position() const { return position_; }
--- a/Source/Core/Fleet/fleet_retry_budget.cc
+++ b/Source/Core/Fleet/fleet_retry_budget.cc
@@ -18,6 +18,15 @@
 FleetRetryBudget::FleetRetryBudget(const FleetBounds& bounds)
     : bounds_(bounds), routers_(bounds.retry_window) {}
 
+void FleetRetryBudget::SetBounds(const FleetBounds& bounds, Milliseconds now) {
+  bool has_same_window = bounds.retry_window == bounds_.retry_window;
+  bounds_ = bounds;
+  if (has_same_window) return;
+  routers_.SetWindow(bounds.retry_window);
+  buckets_ = {};
+  counts_since_ = now;
+}
+
 FleetRetryBudget::Bucket& FleetRetryBudget::CurrentBucket(Milliseconds now) {
   int64_t width =
       std::max<int64_t>(bounds_.retry_window.count() / (kBuckets - 1), 1);
@@ -43,7 +52,8 @@
   double share = bounds_.retry_ratio * static_cast<double>(requests) +
                  bounds_.retry_slack / routers_.value();
   double used_share = kUsedShare;
-  if (now < bounds_.retry_window) used_share *= kShareAfterStart;
+  if (now - counts_since_ < bounds_.retry_window)
+    used_share *= kShareAfterStart;
   return used_share * share - static_cast<double>(retries);
 }
 
--- a/Source/Core/Fleet/fleet_retry_budget.h
+++ b/Source/Core/Fleet/fleet_retry_budget.h
@@ -19,6 +19,10 @@
  public:
   explicit FleetRetryBudget(const FleetBounds& bounds);
 
+  /// Sets the bounds. With another window the counts begin again, with the
+  /// share that applies after a start.
+  void SetBounds(const FleetBounds& bounds, Milliseconds now);
+
   /// Reports the number of routers that share the slack, as one agent sees it.
   /// The largest number of a window counts.
   void SetRouterCount(int routers, Milliseconds now) {
@@ -44,6 +48,7 @@
   Bucket& CurrentBucket(Milliseconds now);
 
   FleetBounds bounds_;
+  Milliseconds counts_since_{0};
   RouterCount routers_;
   std::array<Bucket, kBuckets> buckets_;
 };
--- a/Source/Core/Fleet/freshness.h
+++ b/Source/Core/Fleet/freshness.h
@@ -20,10 +20,14 @@
 /// Not thread safe; the caller supplies the time.
 class ConfigFreshness {
  public:
-  explicit ConfigFreshness(const FleetBounds& bounds)
-      : revoke_bound_(bounds.revoke),
-        config_apply_bound_(bounds.config_apply),
-        strict_(bounds.strict_revoke) {}
+  explicit ConfigFreshness(const FleetBounds& bounds) { SetBounds(bounds); }
+
+  /// Sets the bounds for all decisions from now on.
+  void SetBounds(const FleetBounds& bounds) {
+    revoke_bound_ = bounds.revoke;
+    config_apply_bound_ = bounds.config_apply;
+    strict_ = bounds.strict_revoke;
+  }
 
   /// Records that the current configuration was the newest at `requested_at`,
   /// when the request to the store was sent. Ignores older confirmations.
--- a/Source/Core/Fleet/minimum_version.cc
+++ b/Source/Core/Fleet/minimum_version.cc
@@ -22,33 +22,34 @@
                                bool initial_read, Milliseconds now) {
   std::vector<Target>& targets = by_model_[model];
   if (!targets.empty() && version <= targets.back().version) return;
-  Milliseconds start_cutoff =
-      now + (initial_read ? kStartupGrace : bound_ - kLearnDelay);
-  targets.push_back(
-      {version, now, start_cutoff - kTypicalStartDelay, start_cutoff});
+  targets.push_back({version, now, initial_read});
   if (targets.size() > kMaxTargets) targets.erase(targets.begin());
 }
 
-template <typename Member>
-uint64_t MinimumVersion::MinimumBy(const std::string& model, Milliseconds now,
-                                   Member member) const {
+Milliseconds MinimumVersion::StartCutoff(const Target& target) const {
+  return target.learned_at +
+         (target.initial_read ? kStartupGrace : bound_ - kLearnDelay);
+}
+
+uint64_t MinimumVersion::NewestWithCutoff(const std::string& model,
+                                          Milliseconds time) const {
   auto it = by_model_.find(model);
   uint64_t out = 0;
   if (it == by_model_.end()) return out;
   for (const Target& target : it->second) {
-    if (now >= target.*member) out = std::max(out, target.version);
+    if (time >= StartCutoff(target)) out = std::max(out, target.version);
   }
   return out;
 }
 
 uint64_t MinimumVersion::MinimumToSend(const std::string& model,
                                        Milliseconds now) const {
-  return MinimumBy(model, now, &Target::send_cutoff);
+  return NewestWithCutoff(model, now + kTypicalStartDelay);
 }
 
 uint64_t MinimumVersion::MinimumToStart(const std::string& model,
                                         Milliseconds now) const {
-  return MinimumBy(model, now, &Target::start_cutoff);
+  return NewestWithCutoff(model, now);
 }
 
 uint64_t MinimumVersion::NewestTarget(const std::string& model) const {
--- a/Source/Core/Fleet/minimum_version.h
+++ b/Source/Core/Fleet/minimum_version.h
@@ -14,6 +14,9 @@
  public:
   explicit MinimumVersion(Milliseconds bound) : bound_(bound) {}
 
+  /// Sets the bound, also for the versions that are known.
+  void SetBound(Milliseconds bound) { bound_ = bound; }
+
   /// Records that `version` is to be served. `initial_read` is set if the
   /// version was set before this process began to watch: its age is unknown
   /// then, and older versions are allowed only for as long as a newly started
@@ -35,12 +38,12 @@
   struct Target {
     uint64_t version;
     Milliseconds learned_at;
-    Milliseconds send_cutoff;   // no sending to older versions from then on
-    Milliseconds start_cutoff;  // no start on older versions from then on
+    bool initial_read;
   };
-  template <typename Member>
-  uint64_t MinimumBy(const std::string& model, Milliseconds now,
-                     Member member) const;
+  // Returns the time from which on no request may start on older versions.
+  Milliseconds StartCutoff(const Target& target) const;
+  // Returns the newest version whose start cutoff is at or before `time`.
+  uint64_t NewestWithCutoff(const std::string& model, Milliseconds time) const;
 
   Milliseconds bound_;
   std::map<std::string, std::vector<Target>> by_model_;
--- a/Source/Core/Fleet/router_count.h
+++ b/Source/Core/Fleet/router_count.h
@@ -12,6 +12,8 @@
  public:
   explicit RouterCount(Milliseconds window) : window_(window) {}
 
+  void SetWindow(Milliseconds window) { window_ = window; }
+
   /// Records a report of one agent.
   void Report(int routers, Milliseconds now);
   int value() const { return routers_; }
--- a/Source/Core/Fleet/upstream_rate_limits.h
+++ b/Source/Core/Fleet/upstream_rate_limits.h
@@ -80,6 +80,9 @@
       Milliseconds router_count_window = Milliseconds(10'000))
       : router_id_(router_id), router_count_(router_count_window) {}
 
+  void SetRouterCountWindow(Milliseconds window) {
+    router_count_.SetWindow(window);
+  }
   /// Records what a response of a process says; `start_time_ms` is 0 if
   /// unknown. `request_sent_at` is when its request was sent: a response that
   /// was under way when the upstream stated a limit does not end that limit.
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -457,10 +457,22 @@
              "event=reload_failed why=\"" << settings.error().message << "\"");
     return;
   }
-  state_.settings.bounds = settings.value().bounds;
+  SetBounds(settings.value().bounds);
   PC_INFO(kMain, "event=reload name=" << settings.value().name);
 }
 
+void FleetRouter::SetBounds(const FleetBounds& bounds) {
+  state_.settings.bounds = bounds;
+  state_.freshness.SetBounds(bounds);
+  state_.minimum_versions.SetBound(bounds.version);
+  state_.rate_limits.SetRouterCountWindow(bounds.retry_window);
+  state_.crash_correlator.prompt_part_screen().SetRouterCountWindow(
+      bounds.retry_window);
+  for (auto& [service, retry_budget] : state_.retry_budgets)
+    retry_budget.SetBounds(bounds, state_.Now());
+  watcher_->SetMaxConfigAge(bounds.revoke);
+}
+
 void FleetRouter::BeginStop() {
   if (state_.stopping) return;
   state_.stopping = true;
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -35,6 +35,9 @@
   /// Serves until SIGTERM, reloads settings on SIGHUP, and returns the exit
   /// code.
   int Run();
+  /// Reads the settings file again and applies its bounds. A file that can't be
+  /// read changes nothing.
+  void ReloadSettings();
   /// Starts a graceful shutdown: drains requests, then stops the loop.
   void BeginStop();
   /// Returns the version of the configuration in force; 0 without one.
@@ -80,7 +83,7 @@
   void SendToRelays(const FleetMessage& message);
   void SendCrashDigest();
   void ReportRateLimits(MonotonicTime now);
-  void ReloadSettings();
+  void SetBounds(const FleetBounds& bounds);
   void CheckStop();
 
   FleetRouterOptions options_;
--- a/Source/Core/Router/prompt_part_screen.h
+++ b/Source/Core/Router/prompt_part_screen.h
@@ -51,6 +51,9 @@
   PromptPartScreen(uint64_t router_id, Milliseconds router_count_window)
       : router_id_(router_id), router_count_(router_count_window) {}
 
+  void SetRouterCountWindow(Milliseconds window) {
+    router_count_.SetWindow(window);
+  }
   void SetRouterCount(int routers, MonotonicTime now) {
     router_count_.Report(routers, now);
   }
--- a/Source/UnitTests/Fleet/decisions_test.cc
+++ b/Source/UnitTests/Fleet/decisions_test.cc
@@ -246,6 +246,47 @@
   CHECK(versions.MinimumToSend("other", Milliseconds(0)) == 0);
 }
 
+// Guards against bounds that are copied when a process starts and stay when its
+// settings are reloaded.
+TEST_CASE("a changed bound applies to versions that are known") {
+  MinimumVersion versions(Milliseconds(8000));
+  versions.SetTarget("m", 2, false, Milliseconds(0));
+  CHECK(versions.MinimumToStart("m", Milliseconds(5000)) == 0);
+  versions.SetBound(Milliseconds(4000));
+  CHECK(versions.MinimumToStart("m", Milliseconds(5000)) == 2);
+  versions.SetBound(Milliseconds(20'000));
+  CHECK(versions.MinimumToStart("m", Milliseconds(9000)) == 0);
+}
+
+TEST_CASE("a changed retry budget applies at once") {
+  struct Row {
+    const char* name;
+    double slack;
+    Milliseconds window;
+    double remaining;  // Five retries were used before the change.
+  };
+  FleetBounds bounds;
+  bounds.retry_ratio = 0;
+  bounds.retry_slack = 80;  // Eight routers are assumed.
+  const Row rows[] = {
+      {"the same", 80, Milliseconds(10'000), 2},
+      {"larger", 160, Milliseconds(10'000), 9},
+      {"smaller", 40, Milliseconds(10'000), -1.5},
+      {"another window: as after a start", 80, Milliseconds(20'000), 2.8},
+  };
+  constexpr Milliseconds kNow{30'000};
+  for (const Row& row : rows) {
+    INFO(row.name);
+    FleetRetryBudget retry_budget(bounds);
+    for (int i = 0; i < 5; ++i) CHECK(retry_budget.TryRetry(kNow));
+    FleetBounds changed = bounds;
+    changed.retry_slack = row.slack;
+    changed.retry_window = row.window;
+    retry_budget.SetBounds(changed, kNow);
+    CHECK(retry_budget.RemainingRetries(kNow) == Approx(row.remaining));
+  }
+}
+
 TEST_CASE("a host started during a version change soon refuses older weights") {
   MinimumVersion versions(Milliseconds(8000));
   versions.SetTarget("m", 5, true, Milliseconds(100));
--- a/Source/UnitTests/Router/fleet_router_fixture.h
+++ b/Source/UnitTests/Router/fleet_router_fixture.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <catch2/catch.hpp>
+#include <filesystem>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -62,14 +63,22 @@
     settings.bounds.version = version_bound;
     settings.bounds.stop_grace = stop_grace;
     callers = settings.caller_endpoint;
-    router =
-        std::make_unique<FleetRouter>(&loop, FleetRouterOptions{}, settings);
+    FleetRouterOptions options;
+    options.settings_path = SettingsPath();
+    router = std::make_unique<FleetRouter>(&loop, options, settings);
     if (!router->Start()) FAIL("router");
     RunUntil(&loop, [&] {
       return router->IsReady() && router->registry().all().size() == 4;
     });
   }
 
+  // File that ReloadSettings() reads; it does not exist at first.
+  std::string SettingsPath() const {
+    return (std::filesystem::temp_directory_path() /
+            ("primrosecove-test-" + std::to_string(group_) + ".yaml"))
+        .string();
+  }
+
   Endpoint EndpointAt(int n) const { return TestEndpoint(group_, n); }
 
   static nlohmann::json MakeConfigJson(uint64_t version) {
