Count the time in which a version may have been set

Callers saw: requests began on older weights after the bound, at routers that had learned of the version behind a large configuration.

Cause: the time from the acknowledgement of a version to its arrival was assumed to be 600 ms; it was 1.8 to 2.4 s in remote regions.

Change: a version was not in the previous response of the store, so it was set after that one began to arrive. What this interval exceeds 600 ms by is taken off the bound, and agents are told of the greater age. It is not known after a first read or a failed call; then 600 ms are assumed as before.

The table of ages fails without the change (no such parameter existed).

--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -217,7 +217,8 @@
       remote_update_due_ = true;
     }
     state_.minimum_versions.SetTarget(target->model, target->version,
-                                      !initial_read_done_, now);
+                                      !initial_read_done_,
+                                      watcher_->MaxChangeAge(), now);
   }
 }
 
