Keep confirming a configuration that the operator wrote an older one over

A router confirmed its configuration only if the store holds that version, in any era: an older version written by the operator, which is refused, would have stopped all requests with keys after the bound. The check now applies from a restore until the store has caught up. A stopping router also compares the expected service time with its own end only, not with the caller's deadline.

--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -87,8 +87,9 @@
 }
 
 bool FleetRequest::FitsBeforeStop() const {
-  return !state_->responses_due_at ||
-         EstimateServiceTime(MeanServiceTime()) <= TimeLeft();
+  if (!state_->responses_due_at) return true;
+  return state_->Now() + EstimateServiceTime(MeanServiceTime()) <=
+         *state_->responses_due_at;
 }
 
 bool FleetRequest::ResolveRoute() {
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -225,7 +225,7 @@
 void FleetRouter::ApplyConfig(const FleetConfig& config) {
   uint64_t version =
       state_.routes == nullptr ? 0 : state_.routes->config().version;
-  stored_config_version_ = config.version;
+  if (restored_config_version_) restored_config_version_ = config.version;
   if (state_.routes != nullptr && config.version <= version) {
     if (config.version < version) {
       PC_ERROR(kConfig, "event=config_refused version="
@@ -244,17 +244,19 @@
                        << " workspaces=" << config.workspaces.size());
 }
 
+bool FleetRouter::IsStoreBehind() {
+  if (!restored_config_version_) return false;
+  if (*restored_config_version_ < config_version()) return true;
+  restored_config_version_.reset();
+  PC_INFO(kConfig, "event=store_caught_up config=" << config_version());
+  return false;
+}
+
 void FleetRouter::OnSynced(BootTime requested_at) {
   initial_read_done_ = true;
   // A store that lacks the configuration in force may lack later ones, too.
-  bool is_behind = stored_config_version_ < config_version();
-  if (is_behind != std::exchange(is_store_behind_, is_behind)) {
-    PC_WARN(kConfig, "event=store_behind behind="
-                         << is_behind << " stored=" << stored_config_version_
-                         << " in_force=" << config_version());
-  }
-  if (state_.routes != nullptr && !is_behind)
-    state_.freshness.Confirm(requested_at);
+  bool confirms = state_.routes != nullptr && !IsStoreBehind();
+  if (confirms) state_.freshness.Confirm(requested_at);
   if (update_due_ || remote_update_due_)
     SendDeploymentDigests(remote_update_due_);
 }
@@ -263,7 +265,7 @@
   // Registrations that the copy lacks are written again.
   last_store_return_ = state_.Now();
   state_.registry.OnStoreRestored(last_store_return_);
-  stored_config_version_ = 0;
+  restored_config_version_ = 0;
 }
 
 void FleetRouter::OnStoreReachable(bool reachable) {
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "Core/Control/metrics.h"
@@ -70,6 +71,8 @@
   void ApplyChange(const DeploymentChange& change);
   void ApplyConfig(const FleetConfig& config);
   void OnSynced(BootTime requested_at);
+  // Returns whether the restored store lacks the configuration in force.
+  bool IsStoreBehind();
   void OnStoreRestored();
   void OnStoreReachable(bool reachable);
   void HandleDatagram(std::string_view bytes, const Endpoint& from);
@@ -98,10 +101,9 @@
   std::unique_ptr<UdpSocket> peer_socket_;
   RelayChoice relay_choice_;
   bool initial_read_done_ = false;
-  /// Version of the configuration that the store holds, which is older than
-  /// the one in force after a restore; 0 if it holds none.
-  uint64_t stored_config_version_ = 0;
-  bool is_store_behind_ = false;    ///< As logged last.
+  /// Version of the configuration that the restored store holds, 0 if it holds
+  /// none. Empty once the store holds the one in force again.
+  std::optional<uint64_t> restored_config_version_;
   bool update_due_ = false;         ///< For the agents of the own zone.
   bool remote_update_due_ = false;  ///< For all agents.
   bool was_ready_ = false;
--- a/Source/UnitTests/Router/store_restore_router_test.cc
+++ b/Source/UnitTests/Router/store_restore_router_test.cc
@@ -73,6 +73,23 @@
   CHECK(fixture.SendAndWait("/once/1").head->status == 401);
 }
 
+// Guards against a router that stops serving because the operator has written
+// an older configuration, which it refuses.
+TEST_CASE("an older configuration without a restore stops no request",
+          "[store-restore]") {
+  RouterFixture fixture(120);
+  fixture.store.Put("op/config", ConfigWithKey(3, kNewKey).dump());
+  RunUntil(&fixture.loop,
+           [&] { return fixture.router->config_version() == 3; });
+  fixture.store.Put("op/config", ConfigWithKey(2, kApiKey).dump());
+  SteadyTime written = EventLoop::Now();
+  constexpr Milliseconds kRevokeBound{1500};
+  RunUntil(&fixture.loop,
+           [&] { return EventLoop::Now() - written > 2 * kRevokeBound; });
+  CHECK(fixture.SendAndWait("/once/1", kNewKey).head->status == 200);
+  CHECK(fixture.SendAndWait("/once/1").head->status == 401);
+}
+
 TEST_CASE("an upstream that has left is not used because of the copy",
           "[store-restore]") {
   struct Row {
