Revert "Count the time in which a version may have been set"

A failed try.

Cause: heartbeats that change nothing but their number cause no event there, so a watch mostly waits its whole second. The interval since the previous response is then up to a second for a change that arrives at once, and older weights end up to 0.4 s earlier than they have to, while engines reload.

--- a/Source/Core/Fleet/deployment_source.h
+++ b/Source/Core/Fleet/deployment_source.h
@@ -3,13 +3,11 @@
 #pragma once
 
 #include <functional>
-#include <optional>
 #include <string>
 #include <vector>
 
 #include "Core/Fleet/deployment.h"
 #include "Core/Fleet/store_position.h"
-#include "Core/Net/event_loop.h"
 
 namespace primrosecove {
 
@@ -27,9 +25,6 @@
   /// Of the store when it responded. The era is known also of a failed call
   /// that was answered; the revision only with kOk.
   StorePosition position;
-  /// When the response began to arrive; it contains no later change. Empty
-  /// without a response.
-  std::optional<SteadyTime> responded_at;
   std::string next_page;  ///< Token of the next page; empty after the last.
   std::string why;        ///< Reason of a failure, for logs.
 };
--- a/Source/Core/Fleet/deployment_watcher.cc
+++ b/Source/Core/Fleet/deployment_watcher.cc
@@ -84,7 +84,6 @@
   if (page.empty()) {
     snapshot_requested_at_ = requested_at_;
     snapshot_upstreams_.clear();
-    previous_response_at_.reset();
   }
   bool is_first = page.empty();
   source_->ReadPage(page, [this, is_first](SourceResult result) {
@@ -155,7 +154,6 @@
   }
   MarkReachable();
   for (const DeploymentChange& change : result.changes) Publish(change);
-  previous_response_at_ = result.responded_at;
   position_ = std::max(position_, {era_, result.position.revision});
   events_.on_synced(requested_at_, position_);
   auto elapsed = std::chrono::duration_cast<Milliseconds>(EventLoop::Now() -
@@ -178,7 +176,6 @@
 void DeploymentWatcher::ScheduleRetry(const std::string& why,
                                       std::function<void()> operation) {
   ++failures_;
-  previous_response_at_.reset();
   if (reachable_) {
     reachable_ = false;
     PC_WARN(kConfig, "event=store_lost revision=" << position_.revision
@@ -189,12 +186,6 @@
   timer_ = loop_->After(delay, std::move(operation));
 }
 
-Milliseconds DeploymentWatcher::MaxChangeAge() const {
-  if (!previous_response_at_) return Milliseconds(0);
-  return std::chrono::duration_cast<Milliseconds>(EventLoop::Now() -
-                                                  *previous_response_at_);
-}
-
 void DeploymentWatcher::MarkReachable() {
   failures_ = 0;
   if (reachable_) return;
--- a/Source/Core/Fleet/deployment_watcher.h
+++ b/Source/Core/Fleet/deployment_watcher.h
@@ -43,10 +43,6 @@
   bool reachable() const { return reachable_; }
   /// Returns the position up to which the deployment was read last.
   const StorePosition& position() const { return position_; }
-  /// Returns how long ago a change that on_change passes now may have been
-  /// written at most: it was not in the previous response. Zero if that is not
-  /// known, after a first read or while calls have failed in between.
-  Milliseconds MaxChangeAge() const;
   /// Returns how often the store was found to be restored.
   uint64_t restores() const { return restores_; }
 
@@ -78,8 +74,6 @@
   BootTime requested_at_{0};           // of the call in progress
   BootTime snapshot_requested_at_{0};  // of the first page
   SteadyTime watch_started_;
-  // Of the previous response, if no call has failed since.
-  std::optional<SteadyTime> previous_response_at_;
   std::set<std::string> known_upstreams_;     // ids
   std::set<std::string> snapshot_upstreams_;  // ids read so far
   bool reachable_ = true;
--- a/Source/Core/Fleet/minimum_version.cc
+++ b/Source/Core/Fleet/minimum_version.cc
@@ -19,14 +19,10 @@
 }  // namespace
 
 void MinimumVersion::SetTarget(const std::string& model, uint64_t version,
-                               bool initial_read, Milliseconds max_age,
-                               Milliseconds now) {
+                               bool initial_read, Milliseconds now) {
   std::vector<Target>& targets = by_model_[model];
   if (!targets.empty() && version <= targets.back().version) return;
-  // A large configuration in the same response, or in the one before, delays
-  // the version by more.
-  Milliseconds delay = std::max(max_age - kLearnDelay, Milliseconds(0));
-  targets.push_back({version, now - delay, initial_read});
+  targets.push_back({version, now, initial_read});
   if (targets.size() > kMaxTargets) targets.erase(targets.begin());
 }
 
--- a/Source/Core/Fleet/minimum_version.h
+++ b/Source/Core/Fleet/minimum_version.h
@@ -20,10 +20,9 @@
   /// Records that `version` is to be served. `initial_read` is set if the
   /// version was set before this process began to watch: its age is unknown
   /// then, and older versions are allowed only for as long as a newly started
-  /// host may use them. Otherwise `max_age` is how long ago it may have been
-  /// set at most; zero if that is not known.
+  /// host may use them.
   void SetTarget(const std::string& model, uint64_t version, bool initial_read,
-                 Milliseconds max_age, Milliseconds now);
+                 Milliseconds now);
   /// Returns the lowest version that a request may be sent to.
   uint64_t MinimumToSend(const std::string& model, Milliseconds now) const;
   /// Returns the lowest version on which a request that was sent earlier may
@@ -31,8 +30,7 @@
   uint64_t MinimumToStart(const std::string& model, Milliseconds now) const;
   /// Returns the newest target version, or 0.
   uint64_t NewestTarget(const std::string& model) const;
-  /// Returns the time since this process could have learned of the newest
-  /// target version.
+  /// Returns the time since this process learned of the newest target version.
   Milliseconds NewestTargetAge(const std::string& model,
                                Milliseconds now) const;
 
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -217,8 +217,7 @@
       remote_update_due_ = true;
     }
     state_.minimum_versions.SetTarget(target->model, target->version,
-                                      !initial_read_done_,
-                                      watcher_->MaxChangeAge(), now);
+                                      !initial_read_done_, now);
   }
 }
 
