--- a/Source/UnitTests/Platform/store_restore_test.cc
+++ b/Source/UnitTests/Platform/store_restore_test.cc
@@ -183,7 +183,7 @@
       row.lost(&it.store);
       it.RunUntilCurrent();
       if (was_away) {
-        it.store.SetFault(StoreFault::kNoResponse);
+        it.store.SetFault(StoreFault::kReset);
         it.store.CutWatches();
         RunUntil(&it.loop, [&] { return !it.watcher->reachable(); });
       }
