Collect the reasons that exclude an upstream in a candidate set

Each new limit on where a request may go adds a filter to the loop over candidates, and the reason for a refusal was derived from counts of two of them. CandidateSet applies named reasons one after another and keeps their counts. Admission moves out of the placement policy into a file of its own.

--- a/Source/Core/Fleet/deployment.h
+++ b/Source/Core/Fleet/deployment.h
@@ -44,6 +44,8 @@
   bool is_generative = false;  ///< Request sizes are counted in tokens.
   bool resumable = false;      ///< Streams may resume at another upstream.
   std::vector<ServiceShare> services;
+  /// Regions whose upstreams may get its requests; empty: all regions.
+  std::vector<std::string> allowed_regions;
 
   /// Whether a request may run on more than one upstream.
   bool IsRetryable() const {
@@ -85,6 +87,10 @@
   std::string health_path;
   int max_connections = 0;  ///< Per upstream, from all routers together.
   std::optional<EngineProfile> engine;
+  Milliseconds cold_start{0};  ///< How long an upstream is cold after a start.
+  /// Requests per second that a cold upstream bears from all routers together;
+  /// 0: not limited.
+  double cold_start_rate = 0;
   std::optional<Endpoint> origin;  ///< Set if the service distributes weights.
 };
 
@@ -93,6 +99,9 @@
   std::string name;
   std::vector<std::string> keys;
   std::optional<int> priority;  ///< Overrides the route's priority.
+  /// Regions whose upstreams may get its requests; empty: all regions. Where
+  /// the route names regions too, only those that both allow are allowed.
+  std::vector<std::string> allowed_regions;
 };
 
 /// Limits on requests from callers.
@@ -154,6 +163,12 @@
   uint64_t version = 0;
 };
 
+/// The operator has evacuated a zone, or has taken that back.
+struct ZoneEvacuation {
+  std::string zone;
+  bool evacuated = false;
+};
+
 /// A changed or removed registration of one upstream.
 struct UpstreamChange {
   std::string id;
@@ -162,7 +177,7 @@
 };
 
 using DeploymentChange =
-    std::variant<FleetConfig, UpstreamChange, TargetVersion>;
+    std::variant<FleetConfig, UpstreamChange, TargetVersion, ZoneEvacuation>;
 
 /// Time bounds and retry budget of the deployment, as the operator set them.
 struct FleetBounds {
@@ -175,6 +190,13 @@
   double retry_ratio = 0.2;    ///< Retries over requests, of all hosts.
   Milliseconds retry_window{10'000};
   double retry_slack = 100;  ///< Retries per window on top of the ratio.
+  /// Until the upstreams of an evacuated zone get no request; empty if the
+  /// deployment has no evacuations.
+  std::optional<Milliseconds> evacuate;
+  /// In one second a cold upstream gets at most its service's cold-start rate
+  /// times the overage, plus the slack, from all routers together.
+  double cold_overage = 1;
+  double cold_slack = 0;
 };
 
 /// Settings of a process, given by the platform.
--- a/Source/Core/Fleet/placement_policy.cc
+++ b/Source/Core/Fleet/placement_policy.cc
@@ -1,9 +1,10 @@
 #include "Core/Fleet/placement_policy.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
+#include "Core/Fleet/admission.h"
+
 namespace primrosecove {
 namespace {
 
@@ -11,13 +12,8 @@
 // wait: traffic to it costs more, and responses take a little longer.
 constexpr double kOtherZoneMs = 40;
 constexpr double kOtherRegionMs = 90;
-constexpr double kMsPerSecond = 1000;
 // Cost per millisecond that a request runs beyond its engine's planned reload.
 constexpr double kExcessTimeCost = 0.3;
-// Share of an upstream's slots that is reserved for requests within their
-// latency target. Callers that retry after a refusal are already late; if they
-// were served before first attempts, all requests would become late.
-constexpr double kReservedShare = 0.25;
 // Under the baselines, requests that may queue at a full upstream, as a share
 // of its slots.
 constexpr double kBaselineQueueShare = 0.5;
@@ -43,7 +39,7 @@
     double best = std::numeric_limits<double>::infinity();
     double soonest = std::numeric_limits<double>::infinity();
     for (FleetUpstream* it : candidates) {
-      double wait = WaitMs(*it, request, now);
+      double wait = ExpectedWaitMs(*it, request, now);
       soonest = std::min(soonest, wait);
       if (!CanAccept(*it, request, wait, now)) continue;
       double cost = wait + DistanceMs(*it, request) + BatchLoadMs(*it, now) +
@@ -75,48 +71,12 @@
                     0.0);
   }
 
-  // A slot becomes free every mean_service_time / slots on average, so each
-  // request ahead in the queue adds that long.
-  static double WaitMs(const FleetUpstream& upstream,
-                       const PlacementRequest& request, MonotonicTime now) {
-    int slots = std::max(upstream.record.slots, 1);
-    int ahead = upstream.ExpectedLoad(now) - slots + 1;
-    double slot_interval =
-        static_cast<double>(request.mean_service_time.count()) / slots;
-    return ahead <= 0 ? 0 : ahead * slot_interval;
-  }
-
   // A fuller batch makes each step a little longer.
   static double BatchLoadMs(const FleetUpstream& upstream, MonotonicTime now) {
     constexpr double kFullBatchMs = 60;
     return kFullBatchMs * upstream.ExpectedLoad(now) /
            std::max(upstream.record.slots, 1);
   }
-
-  static bool CanAccept(const FleetUpstream& upstream,
-                        const PlacementRequest& request, double wait_ms,
-                        MonotonicTime now) {
-    if (request.response_started) return true;
-    if (request.waited > request.route->latency_target) {
-      int slots = std::max(upstream.record.slots, 1);
-      auto reserved = static_cast<int>(std::ceil(kReservedShare * slots));
-      return upstream.ExpectedLoad(now) < slots - reserved;
-    }
-    if (wait_ms <= 0) return true;
-    double own = static_cast<double>(request.mean_service_time.count());
-    if (request.service->engine) {
-      const EngineProfile& engine = *request.service->engine;
-      // The first token needs the end of the current batch iteration and one
-      // iteration with the prompt.
-      own = PrefillMs(engine, request.prompt_tokens) +
-            2 * engine.step_ms * engine.steps_per_iteration;
-    }
-    double slowdown =
-        upstream.status ? upstream.status->slowdown_percent / 100.0 : 1.0;
-    double total =
-        request.waited.count() + wait_ms + own * std::max(slowdown, 1.0);
-    return total <= static_cast<double>(request.route->latency_target.count());
-  }
 };
 
 // Baseline: the slots and a queue of fixed length bound the requests in flight.
@@ -163,16 +123,6 @@
 
 }  // namespace
 
-double PrefillMs(const EngineProfile& engine, int64_t prompt_tokens) {
-  constexpr double kMillion = 1e6;
-  auto tokens = static_cast<double>(prompt_tokens);
-  double linear_ms = engine.prefill_tokens_per_s <= 0
-                         ? 0
-                         : tokens / engine.prefill_tokens_per_s * kMsPerSecond;
-  double pairs = tokens * tokens / 2;
-  return linear_ms + pairs / kMillion * engine.attention_ms_per_million_pairs;
-}
-
 std::unique_ptr<PlacementPolicy> MakePlacementPolicy(std::string_view name) {
   if (name == "expected-wait") return std::make_unique<ExpectedWait>();
   if (name == "least-in-flight") return std::make_unique<LeastInFlight>();
--- /dev/null
+++ b/Source/Core/Fleet/placement_request.h
@@ -0,0 +1,28 @@
+// A request as the placement and the admission see it.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "Core/Fleet/deployment.h"
+
+namespace primrosecove {
+
+/// The request to place.
+struct PlacementRequest {
+  const Route* route = nullptr;
+  const FleetService* service = nullptr;
+  std::string home_zone;
+  std::string home_region;
+  const std::map<std::string, std::string>* region_of_zone = nullptr;
+  int64_t prompt_tokens = 0;
+  Milliseconds mean_service_time{0};      ///< From sending to the end.
+  Milliseconds expected_service_time{0};  ///< Of this request; 0: the mean.
+  /// Time since the caller's first attempt.
+  Milliseconds waited{0};
+  /// The caller has received a part of the response, which a refusal would
+  /// waste.
+  bool response_started = false;
+};
+
+}  // namespace primrosecove
--- a/Source/Core/Fleet/request_fields.h
+++ b/Source/Core/Fleet/request_fields.h
@@ -35,9 +35,14 @@
   Milliseconds deadline{0};  ///< Remaining time that the caller will wait.
   std::string upstream_id;   ///< Any other upstream must refuse the request.
   std::string workspace;     ///< Empty for requests without a key.
+  /// Rank of the request at the upstream, 0 first, at most kMaxPriority. Empty:
+  /// the upstream's default.
+  std::optional<int> priority;
   /// An engine that serves another version must refuse the request.
   std::optional<uint64_t> weights_version;
   std::optional<uint64_t> last_event_id;
+
+  static constexpr int kMaxPriority = 9;
 };
 
 /// Load of an upstream as stated in its responses.
@@ -45,6 +50,9 @@
   int running = 0;
   int waiting = 0;
   int slots = 0;
+  /// Time that work takes on its host at this moment, 100 as usual; empty if
+  /// not stated.
+  std::optional<int> slowdown_percent;
 };
 
 /// Whether an HTTP status says that a request succeeded. Thread safe.
@@ -67,6 +75,8 @@
   /// A statement of a rest has an unusable value, or is longer than kMaxRest.
   bool has_malformed_rest = false;
   bool is_leaving = false;  ///< The upstream's process is about to end.
+  /// How much longer the upstream stays cold; empty if not stated.
+  std::optional<Milliseconds> cold_start_remaining;
 
   static constexpr Milliseconds kMaxRest{3'600'000};
 };
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -142,15 +142,7 @@
   MonotonicTime now = state_->Now();
   Placement placement = ChoosePlacement(now);
   if (placement.upstream != nullptr) return StartAttempt(placement);
-  const char* why = "no upstream available";
-  if (placement.candidates > 0) {
-    why = "all upstreams at capacity";
-  } else if (placement.resting > 0) {
-    why = "all upstreams rest";
-  } else if (placement.rate_limited > 0) {
-    why = "all upstreams at their rate limit";
-  }
-  GiveUp(why, placement.retry_after);
+  GiveUp(placement.refusal_reason, placement.retry_after);
 }
 
 void FleetRequest::GiveUp(const char* why, Milliseconds retry_after) {
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "Core/Fleet/candidate_set.h"
 #include "Core/Fleet/request_fields.h"
 #include "Core/Fleet/route_table.h"
 #include "Core/Net/http1_client.h"
@@ -85,7 +86,9 @@
   Milliseconds MeanServiceTime() const;
   Milliseconds EstimateServiceTime(Milliseconds mean) const;
   void Dispatch();
-  std::vector<FleetUpstream*> FindCandidates(MonotonicTime now);
+  // The upstreams that may get the request, without a choice among them.
+  CandidateSet FindCandidates(MonotonicTime now);
+  void ExcludeByWeights(CandidateSet* candidates, MonotonicTime now) const;
   void StartAttempt(const Placement& placement);
   UpstreamFields MakeUpstreamFields(const FleetUpstream& upstream,
                                     FleetAttempt* attempt);
--- a/Source/Core/Router/fleet_request_placement.cc
+++ b/Source/Core/Router/fleet_request_placement.cc
@@ -1,6 +1,7 @@
 // Choice of the upstream of a FleetRequest.
 #include <algorithm>
 
+#include "Core/Common/log.h"
 #include "Core/Router/fleet_request.h"
 
 namespace primrosecove {
@@ -10,47 +11,77 @@
 constexpr Milliseconds kDefaultPlainServiceTime{40};
 constexpr Milliseconds kDefaultEngineServiceTime{2000};
 
+// Returns what a caller's refusal is logged with if no upstream may get its
+// request.
+const char* RefusalReason(std::optional<ExclusionReason> reason) {
+  if (!reason) return "no upstream available";
+  switch (*reason) {
+    case ExclusionReason::kRegion:
+      return "no upstream in an allowed region";
+    case ExclusionReason::kEvacuation:
+      return "all upstreams in evacuated zones";
+    case ExclusionReason::kRest:
+      return "all upstreams rest";
+    case ExclusionReason::kRateLimit:
+      return "all upstreams at their rate limit";
+    case ExclusionReason::kColdStart:
+      return "all upstreams at their cold-start rate";
+    case ExclusionReason::kTried:
+    case ExclusionReason::kSilent:
+    case ExclusionReason::kWeights:
+    case ExclusionReason::kActiveSuspect:
+      break;
+  }
+  return "no upstream available";
+}
+
 }  // namespace
 
-std::vector<FleetUpstream*> FleetRequest::FindCandidates(MonotonicTime now) {
-  auto out = state_->registry.Usable(service_->name, now);
-  std::erase_if(out, [this](FleetUpstream* it) {
-    return tried_upstreams_.contains(it->record.id);
+CandidateSet FleetRequest::FindCandidates(MonotonicTime now) {
+  CandidateSet out(state_->registry.Usable(service_->name, now));
+  out.Exclude(ExclusionReason::kTried, [this](const FleetUpstream& it) {
+    return tried_upstreams_.contains(it.record.id);
   });
   // What a silent engine starts after its silence would be late.
-  std::erase_if(out, [](FleetUpstream* it) { return it->silent_since; });
-  if (service_->engine && route_->is_generative) {
-    uint64_t minimum_version =
-        state_->minimum_versions.MinimumToSend(fields_.model, now);
-    std::erase_if(out, [&](FleetUpstream* it) {
-      uint64_t version =
-          UpstreamRegistry::ServedVersion(*it, fields_.model, now);
-      if (version == 0 || version < minimum_version) return true;
-      // A resumed stream must continue with the weights that produced the
-      // events already forwarded.
-      return event_count_ > 0 && weights_version_ &&
-             version != *weights_version_;
-    });
+  out.Exclude(ExclusionReason::kSilent, [](const FleetUpstream& it) {
+    return it.silent_since.has_value();
+  });
+  if (service_->engine && route_->is_generative) ExcludeByWeights(&out, now);
+  if (is_suspect_) {
+    // With two suspects at one upstream, a crash can't be attributed to either,
+    // so suspects are kept apart if another upstream is available.
+    auto has_suspect = [this](const FleetUpstream& it) {
+      return state_->crash_correlator.HasActiveSuspect(it.record.id);
+    };
+    auto all = out.upstreams();
+    bool has_other = std::any_of(all.begin(), all.end(),
+                                 [&](auto* it) { return !has_suspect(*it); });
+    if (has_other) out.Exclude(ExclusionReason::kActiveSuspect, has_suspect);
   }
-  if (!is_suspect_) return out;
-  // With two suspects at one upstream, a crash can't be attributed to either,
-  // so suspects are kept apart if another upstream is available.
-  std::vector<FleetUpstream*> without_suspects = out;
-  std::erase_if(without_suspects, [this](FleetUpstream* it) {
-    return state_->crash_correlator.HasActiveSuspect(it->record.id);
+  out.ExcludeForTime(ExclusionReason::kRest, [&](auto* it) {
+    return state_->rests.RemoveResting(it, now);
+  });
+  out.ExcludeForTime(ExclusionReason::kRateLimit, [&](auto* it) {
+    return state_->rate_limits.RemoveLimited(it, now, WallClockMs());
+  });
+  return out;
+}
+
+void FleetRequest::ExcludeByWeights(CandidateSet* candidates,
+                                    MonotonicTime now) const {
+  uint64_t minimum_version =
+      state_->minimum_versions.MinimumToSend(fields_.model, now);
+  candidates->Exclude(ExclusionReason::kWeights, [&](const FleetUpstream& it) {
+    uint64_t version = UpstreamRegistry::ServedVersion(it, fields_.model, now);
+    if (version == 0 || version < minimum_version) return true;
+    // A resumed stream must continue with the weights that produced the events
+    // already forwarded.
+    return event_count_ > 0 && weights_version_ && version != *weights_version_;
   });
-  return without_suspects.empty() ? out : without_suspects;
 }
 
 Placement FleetRequest::ChoosePlacement(MonotonicTime now) {
-  auto candidates = FindCandidates(now);
-  size_t all = candidates.size();
-  auto time_to_request = state_->rests.RemoveResting(&candidates, now);
-  size_t awake = candidates.size();
-  if (auto time =
-          state_->rate_limits.RemoveLimited(&candidates, now, WallClockMs())) {
-    time_to_request = std::min(time_to_request.value_or(*time), *time);
-  }
+  CandidateSet candidates = FindCandidates(now);
   PlacementRequest request;
   request.route = route_;
   request.service = service_;
@@ -63,13 +94,18 @@
       EstimateServiceTime(request.mean_service_time);
   request.waited = caller_wait_ + (now - arrived_at_);
   request.response_started = event_count_ > 0;
-  Placement out = state_->policy->Choose(candidates, request, now);
-  out.candidates = candidates.size();
-  out.resting = all - awake;
-  out.rate_limited = awake - candidates.size();
-  // Without a candidate, only resting or limited upstreams can serve it.
-  if (candidates.empty())
-    out.retry_after = time_to_request.value_or(Milliseconds(0));
+  Placement out = state_->policy->Choose(candidates.upstreams(), request, now);
+  if (!candidates.empty()) {
+    out.refusal_reason = "all upstreams at capacity";
+    return out;
+  }
+  out.refusal_reason = RefusalReason(candidates.LastReason());
+  out.retry_after = candidates.time_to_request().value_or(Milliseconds(0));
+  if (out.upstream == nullptr) {
+    PC_INFO(kRouter, "event=no_candidate id=" << fields_.request_id
+                                              << " excluded=""
+                                              << candidates.Summary() << """);
+  }
   return out;
 }
 
--- a/Source/Emulator/emulated_engine.cc
+++ b/Source/Emulator/emulated_engine.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "Core/Fleet/placement_policy.h"
+#include "Core/Fleet/admission.h"
 
 namespace primrosecove {
 namespace {
--- a/Source/Emulator/ideal_bound.cc
+++ b/Source/Emulator/ideal_bound.cc
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include "Core/Fleet/placement_policy.h"
+#include "Core/Fleet/admission.h"
 
 namespace primrosecove {
 namespace {
--- a/Source/Emulator/scenario.cc
+++ b/Source/Emulator/scenario.cc
@@ -5,7 +5,7 @@
 #include <sstream>
 
 #include "Core/Config/yaml_reader.h"
-#include "Core/Fleet/placement_policy.h"
+#include "Core/Fleet/admission.h"
 #include "Emulator/silence_policy.h"
 
 namespace primrosecove {
