--- a/Source/Core/Router/fleet_request_placement.cc
+++ b/Source/Core/Router/fleet_request_placement.cc
@@ -101,11 +101,9 @@
   }
   out.refusal_reason = RefusalReason(candidates.LastReason());
   out.retry_after = candidates.time_to_request().value_or(Milliseconds(0));
-  if (out.upstream == nullptr) {
-    PC_INFO(kRouter, "event=no_candidate id=" << fields_.request_id
-                                              << " excluded=""
-                                              << candidates.Summary() << """);
-  }
+  PC_INFO(kRouter, "event=no_candidate id=" << fields_.request_id
+                                            << " excluded=\""
+                                            << candidates.Summary() << "\"");
   return out;
 }
 
