Keep requests out of forbidden regions, evacuated zones and cold upstreams

Routes and workspaces may name the regions that serve them, the operator may evacuate a zone, and a service may state how many requests a second a cold upstream bears.

AllowedRegions, ZoneEvacuations and ColdStartLimits exclude upstreams in the candidate set, so first sends, retries, resumed streams and second attempts pass the same checks. Upstreams that fail are compared only with others that the request may use. A router that has not read the deployment yet refuses requests where evacuations exist; an evacuation outlasts the restore of a store copy that lacks it for 10 s.

--- a/Source/Core/Fleet/candidate_set.cc
+++ b/Source/Core/Fleet/candidate_set.cc
@@ -4,8 +4,8 @@
 
 std::string_view NameOf(ExclusionReason reason) {
   constexpr std::array<std::string_view, kExclusionReasons> kNames = {
-      "region",         "evacuation", "tried",      "silent",    "weights",
-      "active_suspect", "rest",       "rate_limit", "cold_start"};
+      "region",  "evacuation",     "failing", "tried",      "silent",
+      "weights", "active_suspect", "rest",    "rate_limit", "cold_start"};
   return kNames[static_cast<size_t>(reason)];
 }
 
--- a/Source/Core/Fleet/candidate_set.h
+++ b/Source/Core/Fleet/candidate_set.h
@@ -19,6 +19,7 @@
 enum class ExclusionReason {
   kRegion,         ///< The route or the workspace does not allow its region.
   kEvacuation,     ///< Its zone is evacuated.
+  kFailing,        ///< It fails or is silent, and others are sound.
   kTried,          ///< An earlier attempt of the request was sent to it.
   kSilent,         ///< It does not respond at present.
   kWeights,        ///< It does not serve the weights that the request needs.
@@ -27,7 +28,7 @@
   kRateLimit,      ///< This router's share of its rate limit is used up.
   kColdStart,      ///< This router's share of its cold-start rate is used up.
 };
-inline constexpr size_t kExclusionReasons = 9;
+inline constexpr size_t kExclusionReasons = 10;
 
 /// Returns the name of a reason in logs and metrics. Thread safe.
 std::string_view NameOf(ExclusionReason reason);
@@ -52,13 +53,21 @@
   /// may get a request, or nothing if it removed none.
   template <typename F>
   void ExcludeForTime(ExclusionReason reason, F remove) {
-    size_t before = upstreams_.size();
-    std::optional<Milliseconds> time = remove(&upstreams_);
-    excluded_[static_cast<size_t>(reason)] += before - upstreams_.size();
+    std::optional<Milliseconds> time;
+    ExcludeWith(reason, [&](auto* it) { time = remove(it); });
     if (time)
       time_to_request_ = std::min(time_to_request_.value_or(*time), *time);
   }
 
+  /// Excludes upstreams: `remove` takes the vector of candidates and removes
+  /// some of them.
+  template <typename F>
+  void ExcludeWith(ExclusionReason reason, F remove) {
+    size_t before = upstreams_.size();
+    remove(&upstreams_);
+    excluded_[static_cast<size_t>(reason)] += before - upstreams_.size();
+  }
+
   std::span<FleetUpstream* const> upstreams() const { return upstreams_; }
   bool empty() const { return upstreams_.empty(); }
   size_t excluded(ExclusionReason reason) const {
--- a/Source/Core/Fleet/deployment.h
+++ b/Source/Core/Fleet/deployment.h
@@ -137,7 +137,8 @@
   std::string zone;
   int slots = 1;
   bool leaving = false;
-  Milliseconds cold_start_remaining{0};  ///< Until it reaches full speed.
+  /// Until it reaches full speed; empty if not stated.
+  std::optional<Milliseconds> cold_start_remaining;
   int64_t start_time_ms = 0;  ///< Unix time of its start; 0 if unknown.
   /// Number of this write of the registration since the start; 0 if unknown.
   int64_t write_number = 0;
@@ -167,6 +168,8 @@
 struct ZoneEvacuation {
   std::string zone;
   bool evacuated = false;
+  /// A complete read of the store lacks the evacuation; its end was not seen.
+  bool is_inferred = false;
 };
 
 /// A changed or removed registration of one upstream.
--- a/Source/Core/Fleet/deployment_watcher.cc
+++ b/Source/Core/Fleet/deployment_watcher.cc
@@ -32,6 +32,14 @@
   return out;
 }
 
+std::set<std::string> Difference(const std::set<std::string>& from,
+                                 const std::set<std::string>& removed) {
+  std::set<std::string> out;
+  std::set_difference(from.begin(), from.end(), removed.begin(), removed.end(),
+                      std::inserter(out, out.end()));
+  return out;
+}
+
 }  // namespace
 
 DeploymentWatcher::DeploymentWatcher(EventLoop* loop, DeploymentSource* source,
@@ -84,6 +92,7 @@
   if (page.empty()) {
     snapshot_requested_at_ = requested_at_;
     snapshot_upstreams_.clear();
+    snapshot_evacuations_.clear();
   }
   bool is_first = page.empty();
   source_->ReadPage(page, [this, is_first](SourceResult result) {
@@ -106,6 +115,8 @@
   for (const DeploymentChange& change : result.changes) {
     if (const auto* it = std::get_if<UpstreamChange>(&change)) {
       snapshot_upstreams_.insert(it->id);
+    } else if (const auto* it = std::get_if<ZoneEvacuation>(&change)) {
+      snapshot_evacuations_.insert(it->zone);
     }
     Publish(change);
   }
@@ -115,11 +126,13 @@
 }
 
 void DeploymentWatcher::CompleteSnapshot() {
-  std::set<std::string> removed;
-  std::set_difference(known_upstreams_.begin(), known_upstreams_.end(),
-                      snapshot_upstreams_.begin(), snapshot_upstreams_.end(),
-                      std::inserter(removed, removed.end()));
-  for (const std::string& id : removed) Publish(UpstreamChange{id, {}, ""});
+  for (const std::string& id :
+       Difference(known_upstreams_, snapshot_upstreams_))
+    Publish(UpstreamChange{id, {}, ""});
+  for (const std::string& zone :
+       Difference(known_evacuations_, snapshot_evacuations_)) {
+    Publish(ZoneEvacuation{zone, false, true});
+  }
   position_ = *snapshot_position_;
   PC_INFO(kConfig, "event=deployment_read revision="
                        << position_.revision
@@ -169,6 +182,12 @@
     } else {
       known_upstreams_.erase(it->id);
     }
+  } else if (const auto* it = std::get_if<ZoneEvacuation>(&change)) {
+    if (it->evacuated) {
+      known_evacuations_.insert(it->zone);
+    } else {
+      known_evacuations_.erase(it->zone);
+    }
   }
   events_.on_change(change);
 }
--- a/Source/Core/Fleet/deployment_watcher.h
+++ b/Source/Core/Fleet/deployment_watcher.h
@@ -74,8 +74,10 @@
   BootTime requested_at_{0};           // of the call in progress
   BootTime snapshot_requested_at_{0};  // of the first page
   SteadyTime watch_started_;
-  std::set<std::string> known_upstreams_;     // ids
-  std::set<std::string> snapshot_upstreams_;  // ids read so far
+  std::set<std::string> known_upstreams_;       // ids
+  std::set<std::string> snapshot_upstreams_;    // ids read so far
+  std::set<std::string> known_evacuations_;     // zones
+  std::set<std::string> snapshot_evacuations_;  // zones read so far
   bool reachable_ = true;
   int failures_ = 0;
   std::mt19937_64 random_;
--- a/Source/Core/Fleet/router_count.h
+++ b/Source/Core/Fleet/router_count.h
@@ -10,7 +10,10 @@
 /// safe; the caller supplies the time.
 class RouterCount {
  public:
-  explicit RouterCount(Milliseconds window) : window_(window) {}
+  /// `initial` is used until the number is known; too high a number is safe,
+  /// because it makes this router's share of a common allowance smaller.
+  explicit RouterCount(Milliseconds window, int initial = kInitialRouters)
+      : window_(window), routers_(initial) {}
 
   void SetWindow(Milliseconds window) { window_ = window; }
 
@@ -19,12 +22,10 @@
   int value() const { return routers_; }
 
  private:
-  // Used until the number is known; too high a number is safe, because it makes
-  // this router's share of a common allowance smaller.
   static constexpr int kInitialRouters = 8;
 
   Milliseconds window_;
-  int routers_ = kInitialRouters;
+  int routers_;
   Milliseconds reported_at_{0};
 };
 
--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -102,6 +102,8 @@
       upstream.refuses_connections = false;
     }
     upstream.record = *change.record;
+    if (upstream.record.cold_start_remaining)
+      upstream.cold_until = now + *upstream.record.cold_start_remaining;
     upstream.registration_expires_at.reset();
     UpdateStatesLeaving(&upstream);
     if (!changed) return;
@@ -249,6 +251,12 @@
   upstream->load_reported_at = now;
 }
 
+void UpstreamRegistry::RecordColdStart(const std::string& id,
+                                       Milliseconds remaining,
+                                       MonotonicTime now) {
+  if (FleetUpstream* it = Find(id)) it->cold_until = now + remaining;
+}
+
 void UpstreamRegistry::OnSent(const std::string& id, MonotonicTime now) {
   FleetUpstream* upstream = Find(id);
   if (upstream == nullptr) return;
@@ -452,11 +460,9 @@
   return all == 0 ? 0 : static_cast<double>(silent) / all;
 }
 
-std::vector<FleetUpstream*> UpstreamRegistry::Usable(const std::string& service,
-                                                     MonotonicTime now) {
+std::vector<FleetUpstream*> UpstreamRegistry::Accepting(
+    const std::string& service, MonotonicTime now) {
   std::vector<FleetUpstream*> out;
-  std::vector<FleetUpstream*> ejected;
-  std::vector<FleetUpstream*> silent;
   for (auto& [id, upstream] : upstreams_) {
     if (upstream.record.service != service || upstream.IsLeaving()) continue;
     bool has_status =
@@ -466,15 +472,33 @@
         (!upstream.status->reachable || upstream.status->loading)) {
       continue;
     }
-    if (upstream.silent_since) {
-      silent.push_back(&upstream);
-    } else {
-      (now < upstream.ejected_until ? ejected : out).push_back(&upstream);
-    }
+    out.push_back(&upstream);
   }
+  return out;
+}
+
+void UpstreamRegistry::PreferSound(std::vector<FleetUpstream*>* upstreams,
+                                   MonotonicTime now) {
+  auto rank = [now](const FleetUpstream* it) {
+    enum { kSound, kEjected, kSilent };
+    if (it->silent_since) return kSilent;
+    return now < it->ejected_until ? kEjected : kSound;
+  };
   // If all upstreams fail, the requests are the likelier cause.
-  if (!out.empty()) return out;
-  return ejected.empty() ? silent : ejected;
+  auto best =
+      std::min_element(upstreams->begin(), upstreams->end(),
+                       [&](auto* a, auto* b) { return rank(a) < rank(b); });
+  if (best == upstreams->end()) return;
+  auto best_rank = rank(*best);
+  std::erase_if(*upstreams,
+                [&](const auto* it) { return rank(it) != best_rank; });
+}
+
+std::vector<FleetUpstream*> UpstreamRegistry::Usable(const std::string& service,
+                                                     MonotonicTime now) {
+  std::vector<FleetUpstream*> out = Accepting(service, now);
+  PreferSound(&out, now);
+  return out;
 }
 
 FleetUpstream* UpstreamRegistry::Find(const std::string& id) {
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -25,6 +25,8 @@
   /// The time at which the upstream is removed. Set if its registration ended
   /// while the store was unreachable.
   std::optional<MonotonicTime> registration_expires_at;
+  /// Until when it is cold, by its registration and its responses.
+  MonotonicTime cold_until{-1'000'000};
   /// The last status from its agent; empty until one has arrived.
   std::optional<UpstreamStatus> status;
   MonotonicTime status_received_at{0};
@@ -116,6 +118,9 @@
   void RecordStatus(const UpstreamStatus& status, MonotonicTime now);
   void RecordResponseLoad(const std::string& id, const UpstreamLoad& load,
                           MonotonicTime now);
+  /// Records how much longer an upstream is cold, as stated in a response.
+  void RecordColdStart(const std::string& id, Milliseconds remaining,
+                       MonotonicTime now);
   void OnSent(const std::string& id, MonotonicTime now);
   /// Records that response data arrived.
   void OnProgress(const std::string& id, MonotonicTime now);
@@ -150,8 +155,15 @@
   /// Returns how often an upstream has fallen silent.
   uint64_t silences() const { return silences_; }
 
-  /// Returns the upstreams of a service that may get new requests at `now`. If
-  /// all of them fail, it returns those; if all are silent, the silent ones.
+  /// Returns the upstreams of a service that accept new requests at `now`, also
+  /// those whose requests fail and those that are silent.
+  std::vector<FleetUpstream*> Accepting(const std::string& service,
+                                        MonotonicTime now);
+  /// Removes the upstreams that fail or are silent. If all fail, it keeps those
+  /// that fail; if all are silent, the silent ones.
+  static void PreferSound(std::vector<FleetUpstream*>* upstreams,
+                          MonotonicTime now);
+  /// Returns the upstreams that are left of Accepting() after PreferSound().
   std::vector<FleetUpstream*> Usable(const std::string& service,
                                      MonotonicTime now);
   FleetUpstream* Find(const std::string& id);
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -49,6 +49,9 @@
     return Refuse("router is stopping", kRetryElsewhereDelay);
   if (routes_ == nullptr)
     return Refuse("no configuration yet", kRetryElsewhereDelay);
+  // An evacuation may be among what has not been read yet.
+  if (state_->settings.bounds.evacuate && !state_->deployment_read)
+    return Refuse("deployment not read yet", kRetryElsewhereDelay);
   for (const std::string& it : fields_.prompt_parts)
     prompt_part_fingerprints_.push_back(PromptPartFingerprint(it));
   if (!ResolveRoute() || !Authenticate() || !CheckSuspect() ||
@@ -111,12 +114,13 @@
 }
 
 bool FleetRequest::Authenticate() {
+  const FleetWorkspace* workspace =
+      fields_.key ? routes_->FindKey(*fields_.key) : nullptr;
+  allowed_regions_ = AllowedRegions(route_, workspace);
   if (!routes_->needs_keys() || (route_->is_public && !fields_.key)) {
     return true;
   }
   BootTime now = BootNow();
-  const FleetWorkspace* workspace =
-      fields_.key ? routes_->FindKey(*fields_.key) : nullptr;
   if (route_->is_public) {
     bool known = workspace != nullptr && state_->freshness.MayUseKeys(now);
     if (known) workspace_ = workspace->name;
@@ -240,6 +244,7 @@
   state_->registry.OnSent(attempt->upstream_id, now);
   state_->rate_limits.OnSent(*upstream, WallClockMs());
   state_->rests.OnSent(*upstream, now);
+  state_->cold_starts.OnSent(*upstream, *service_, now);
   if (is_suspect_) {
     attempt->sent_as_suspect =
         !state_->crash_correlator.HasActiveSuspect(attempt->upstream_id);
@@ -278,6 +283,8 @@
   }
   state_->rests.OnResponse(id, attempt->upstream_start_time_ms, response,
                            attempt->sent_at, state_->RandomFraction(), now);
+  if (response.cold_start_remaining)
+    state_->registry.RecordColdStart(id, *response.cold_start_remaining, now);
   if (response.load)
     state_->registry.RecordResponseLoad(id, *response.load, now);
   bool is_success = IsSuccess(head.status) && response.is_signed;
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "Core/Fleet/allowed_regions.h"
 #include "Core/Fleet/candidate_set.h"
 #include "Core/Fleet/request_fields.h"
 #include "Core/Fleet/route_table.h"
@@ -82,6 +83,10 @@
   void RecordConnectionLoss(FleetAttempt* attempt);
   void RecordLossIfSilent(FleetAttempt* attempt);
   Placement ChoosePlacement(MonotonicTime now);
+  // When a request may be served whose last candidates were excluded for a
+  // reason that ends with no known time.
+  Milliseconds TimeToOtherCandidates(
+      std::optional<ExclusionReason> reason) const;
   // Mean service time of the request's service, measured or assumed.
   Milliseconds MeanServiceTime() const;
   Milliseconds EstimateServiceTime(Milliseconds mean) const;
@@ -157,6 +162,7 @@
   const FleetService* service_ = nullptr;
   CallerFields fields_;
   std::string workspace_;
+  AllowedRegions allowed_regions_;
   MonotonicTime arrived_at_{0};
   Milliseconds caller_wait_{0};  // In earlier attempts of the same caller.
   MonotonicTime deadline_{0};    // When the complete response is due.
--- a/Source/Core/Router/fleet_request_placement.cc
+++ b/Source/Core/Router/fleet_request_placement.cc
@@ -26,6 +26,7 @@
       return "all upstreams at their rate limit";
     case ExclusionReason::kColdStart:
       return "all upstreams at their cold-start rate";
+    case ExclusionReason::kFailing:
     case ExclusionReason::kTried:
     case ExclusionReason::kSilent:
     case ExclusionReason::kWeights:
@@ -38,7 +39,16 @@
 }  // namespace
 
 CandidateSet FleetRequest::FindCandidates(MonotonicTime now) {
-  CandidateSet out(state_->registry.Usable(service_->name, now));
+  CandidateSet out(state_->registry.Accepting(service_->name, now));
+  out.Exclude(ExclusionReason::kRegion, [this](const FleetUpstream& it) {
+    return !allowed_regions_.Allows(
+        RegionOfZone(state_->settings, it.record.zone));
+  });
+  out.Exclude(ExclusionReason::kEvacuation, [&](const FleetUpstream& it) {
+    return state_->evacuations.IsEvacuated(it.record.zone, now);
+  });
+  out.ExcludeWith(ExclusionReason::kFailing,
+                  [now](auto* it) { UpstreamRegistry::PreferSound(it, now); });
   out.Exclude(ExclusionReason::kTried, [this](const FleetUpstream& it) {
     return tried_upstreams_.contains(it.record.id);
   });
@@ -64,6 +74,14 @@
   out.ExcludeForTime(ExclusionReason::kRateLimit, [&](auto* it) {
     return state_->rate_limits.RemoveLimited(it, now, WallClockMs());
   });
+  out.ExcludeForTime(ExclusionReason::kColdStart, [&](auto* it) {
+    return state_->cold_starts.RemoveLimited(it, *service_, state_->evacuations,
+                                             now, WallClockMs());
+  });
+  for (size_t i = 0; i < kExclusionReasons; ++i) {
+    state_->counters.exclusions[i] +=
+        out.excluded(static_cast<ExclusionReason>(i));
+  }
   return out;
 }
 
@@ -100,13 +118,23 @@
     return out;
   }
   out.refusal_reason = RefusalReason(candidates.LastReason());
-  out.retry_after = candidates.time_to_request().value_or(Milliseconds(0));
+  out.retry_after = candidates.time_to_request().value_or(
+      TimeToOtherCandidates(candidates.LastReason()));
   PC_INFO(kRouter, "event=no_candidate id=" << fields_.request_id
                                             << " excluded=\""
                                             << candidates.Summary() << "\"");
   return out;
 }
 
+// No slot that becomes free helps a request whose upstreams are all in other
+// regions or evacuated zones, only a change of the deployment.
+Milliseconds FleetRequest::TimeToOtherCandidates(
+    std::optional<ExclusionReason> reason) const {
+  bool needs_change = reason == ExclusionReason::kRegion ||
+                      reason == ExclusionReason::kEvacuation;
+  return needs_change ? state_->settings.bounds.config_apply : Milliseconds(0);
+}
+
 Milliseconds FleetRequest::MeanServiceTime() const {
   return state_->MeanServiceTime(
       service_->name,
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -104,6 +105,7 @@
       PromptPartScreen(router_id, bounds.retry_window));
   state_.minimum_versions = MinimumVersion(bounds.version);
   state_.rate_limits = UpstreamRateLimits(router_id, bounds.retry_window);
+  state_.cold_starts = ColdStartLimits(bounds, router_id, state_.Now());
   state_.random.seed(RandomU64());
   AddMetrics();
 }
@@ -157,6 +159,7 @@
   rate_limit_log_timer_ = loop_->Every(kRateLimitLogPeriod, [this] {
     state_.rate_limits.Update(state_.registry, state_.Now());
     state_.rests.RemoveExpired(state_.Now());
+    state_.cold_starts.RemoveExpired(state_.Now());
   });
   last_check_at_ = state_.Now();
   request_check_timer_ =
@@ -217,7 +220,13 @@
       remote_update_due_ = true;
     }
     state_.minimum_versions.SetTarget(target->model, target->version,
-                                      !initial_read_done_, now);
+                                      !state_.deployment_read, now);
+  } else if (const auto* evacuation = std::get_if<ZoneEvacuation>(&change)) {
+    if (!state_.settings.region_of_zone.contains(evacuation->zone)) {
+      PC_WARN(kConfig,
+              "event=evacuation_of_unknown_zone zone=" << evacuation->zone);
+    }
+    state_.evacuations.Apply(*evacuation, now);
   }
 }
 
@@ -237,12 +246,26 @@
   caller_server_->SetLimits(
       MakeCallerServerLimits(config.limits, state_.settings));
   remote_update_due_ = true;
+  WarnOfUnknownRegions(config);
   PC_INFO(kConfig, "event=config_in_force version="
                        << config.version << " before=" << version
                        << " routes=" << config.routes.size()
                        << " workspaces=" << config.workspaces.size());
 }
 
+void FleetRouter::WarnOfUnknownRegions(const FleetConfig& config) const {
+  std::set<std::string> unknown;
+  auto check = [&](const std::vector<std::string>& regions) {
+    unknown.insert(regions.begin(), regions.end());
+  };
+  for (const Route& it : config.routes) check(it.allowed_regions);
+  for (const FleetWorkspace& it : config.workspaces) check(it.allowed_regions);
+  for (const auto& [zone, region] : state_.settings.region_of_zone)
+    unknown.erase(region);
+  for (const std::string& it : unknown)
+    PC_WARN(kConfig, "event=unknown_region region=" << it);
+}
+
 bool FleetRouter::IsStoreBehind() {
   if (!restored_config_version_) return false;
   if (*restored_config_version_ < config_version()) return true;
@@ -252,7 +275,7 @@
 }
 
 void FleetRouter::OnSynced(BootTime requested_at) {
-  initial_read_done_ = true;
+  state_.deployment_read = true;
   // A store that lacks the configuration in force may lack later ones, too.
   bool confirms = state_.routes != nullptr && !IsStoreBehind();
   if (confirms) state_.freshness.Confirm(requested_at);
@@ -264,6 +287,7 @@
   // Registrations that the copy lacks are written again.
   last_store_return_ = state_.Now();
   state_.registry.OnStoreRestored(last_store_return_);
+  state_.evacuations.OnStoreRestored(last_store_return_);
   restored_config_version_ = 0;
 }
 
@@ -309,6 +333,7 @@
   state_.registry.RecordStatus(*status, state_.Now());
   auto routers = static_cast<int>(status->active_routers);
   state_.rate_limits.SetRouterCount(routers, now);
+  state_.cold_starts.SetRouterCount(routers, now);
   state_.crash_correlator.prompt_part_screen().SetRouterCount(routers, now);
   for (auto& [service, retry_budget] : state_.retry_budgets)
     retry_budget.SetRouterCount(routers, now);
@@ -467,6 +492,7 @@
   state_.settings.bounds = bounds;
   state_.freshness.SetBounds(bounds);
   state_.minimum_versions.SetBound(bounds.version);
+  state_.cold_starts.SetBounds(bounds);
   state_.rate_limits.SetRouterCountWindow(bounds.retry_window);
   state_.crash_correlator.prompt_part_screen().SetRouterCountWindow(
       bounds.retry_window);
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -65,6 +65,7 @@
   void AddMetrics();
   void AddCrashMetrics();
   void AddRateLimitMetrics();
+  void AddCandidateMetrics();
   void AddConnectionMetrics();
   void HandleRequest(std::shared_ptr<Http1Exchange> exchange);
   void HandleReadiness(std::shared_ptr<Http1Exchange> exchange);
@@ -86,6 +87,7 @@
   void SendToRelays(const FleetMessage& message);
   void SendCrashDigest();
   void ReportRateLimits(MonotonicTime now);
+  void WarnOfUnknownRegions(const FleetConfig& config) const;
   void SetBounds(const FleetBounds& bounds);
   void CheckStop();
 
@@ -100,7 +102,6 @@
   std::unique_ptr<Http1Server> metrics_server_;
   std::unique_ptr<UdpSocket> peer_socket_;
   RelayChoice relay_choice_;
-  bool initial_read_done_ = false;
   /// Version of the configuration that the restored store holds, 0 if it holds
   /// none. Empty once the store holds the one in force again.
   std::optional<uint64_t> restored_config_version_;
--- a/Source/Core/Router/fleet_router_metrics.cc
+++ b/Source/Core/Router/fleet_router_metrics.cc
@@ -59,6 +59,7 @@
           return static_cast<double>(state_.counters.*row.member);
         });
   }
+  AddCandidateMetrics();
   AddCrashMetrics();
   AddRateLimitMetrics();
   metrics_.AddCounter("primrosecove_router_upstream_silences_total",
@@ -92,6 +93,23 @@
                             "From a request's arrival to its first event");
 }
 
+void FleetRouter::AddCandidateMetrics() {
+  for (size_t i = 0; i < kExclusionReasons; ++i) {
+    auto reason = static_cast<ExclusionReason>(i);
+    metrics_.AddCounter(
+        "primrosecove_router_excluded_upstreams_total",
+        "Upstreams left out of a choice, by the first reason",
+        {{"reason", std::string(NameOf(reason))}}, [this, i] {
+          return static_cast<double>(state_.counters.exclusions[i]);
+        });
+  }
+  metrics_.AddGauge(
+      "primrosecove_router_evacuated_zones",
+      "Zones whose upstreams get no requests", {}, [this] {
+        return static_cast<double>(state_.evacuations.Count(state_.Now()));
+      });
+}
+
 void FleetRouter::AddCrashMetrics() {
   struct Row {
     const char* name;
--- a/Source/Core/Router/fleet_state.h
+++ b/Source/Core/Router/fleet_state.h
@@ -1,6 +1,7 @@
 // State that the requests of one router share on a prepared deployment.
 #pragma once
 
+#include <array>
 #include <map>
 #include <memory>
 #include <optional>
@@ -10,6 +11,8 @@
 
 #include "Core/Control/metrics.h"
 #include "Core/Fleet/caller_wait_estimator.h"
+#include "Core/Fleet/candidate_set.h"
+#include "Core/Fleet/cold_start_limits.h"
 #include "Core/Fleet/deployment.h"
 #include "Core/Fleet/fleet_retry_budget.h"
 #include "Core/Fleet/freshness.h"
@@ -19,6 +22,7 @@
 #include "Core/Fleet/upstream_rate_limits.h"
 #include "Core/Fleet/upstream_registry.h"
 #include "Core/Fleet/upstream_rests.h"
+#include "Core/Fleet/zone_evacuations.h"
 #include "Core/Net/http1_client.h"
 #include "Core/Router/crash_correlator.h"
 
@@ -46,6 +50,8 @@
   uint64_t rests_asked = 0;  ///< Refusals by which an upstream asks for rest.
   uint64_t prompt_part_tests = 0;
   uint64_t prompt_parts_refused = 0;
+  /// Upstreams that were left out of a choice, by the reason.
+  std::array<uint64_t, kExclusionReasons> exclusions{};
 };
 
 /// Shared state of one event loop; use it on that loop's thread only.
@@ -59,6 +65,10 @@
   UpstreamRegistry registry;
   UpstreamRateLimits rate_limits;
   UpstreamRests rests;
+  ZoneEvacuations evacuations;
+  ColdStartLimits cold_starts{FleetBounds{}, 0, MonotonicTime(0)};
+  /// The deployment has been read completely since this process's start.
+  bool deployment_read = false;
   CrashCorrelator crash_correlator;
   MinimumVersion minimum_versions{Milliseconds(0)};
   std::unique_ptr<PlacementPolicy> policy;
--- a/Tools/check_words.py
+++ b/Tools/check_words.py
@@ -20,7 +20,8 @@
     # Fields and values of bodies and settings.
     "route_type", "max_attempts\"", "latency_target_ms", "itl_target_ms", "api_keys", "kv_in_use",
     "kv_size", "per_seq_ms", "context_per_k", "pairs_per_m", "cold_remaining_ms", "switch_mode",
-    "has_more", "wait_ms\"", "node_name", "seed_nodes", "internal_ports", "machine_class",
+    "allowed_regions\"", "op/evacuate", "cold_per_s", "cold_start_s", "Cold-Start-Ms", "evacuate_ms",
+    "cold_overage\"", "cold_slack\"", "has_more", "wait_ms\"", "node_name", "seed_nodes", "internal_ports", "machine_class",
     "PRIMROSECOVE_BOOT", "strict_revoke\"",
 )
 # Tests that act as callers and operators of the platform.
