--- a/Source/UnitTests/Fleet/cold_start_limits_test.cc
+++ b/Source/UnitTests/Fleet/cold_start_limits_test.cc
@@ -102,6 +102,7 @@
     return out;
   };
   std::vector<Router> routers;
+  routers.reserve(load.routers);
   for (int i = 0; i < load.routers; ++i) {
     routers.push_back(make_router(i, -20'000, random() % 400));
   }
