Admit requests by priority where those of a service differ in it

A request was accepted if its expected wait met its own latency target. The priority was not sent to upstreams.

Upstreams now get the priority with the request and admit the more urgent first; callers that are late already rank last. The expected wait follows Cobham's formula for a queue by priority, with shares of engine time measured by each router. A request is refused where a more urgent one would be late. Under refusals, the wait of workspaces that have used more than an equal share grows. Refused callers return in the order of their priorities. Services whose requests have one priority are served as before.

--- a/Source/Core/Fleet/admission.cc
+++ b/Source/Core/Fleet/admission.cc
@@ -12,17 +12,42 @@
 // were served before first attempts, all requests would become late.
 constexpr double kReservedShare = 0.25;
 
+// Returns the time until the request would get a slot if `ahead_share` of the
+// waiting requests are served before it and `more_urgent_share` of the slots
+// that become free go to later requests. A slot becomes free every
+// mean_service_time / slots on average.
+double WaitMs(const FleetUpstream& upstream, const PlacementRequest& request,
+              double ahead_share, double more_urgent_share, MonotonicTime now) {
+  int slots = std::max(upstream.record.slots, 1);
+  int waiting = upstream.ExpectedLoad(now) - slots;
+  if (waiting < 0) return 0;
+  double slot_interval =
+      static_cast<double>(request.mean_service_time.count()) / slots;
+  return (waiting * ahead_share + 1) * slot_interval / (1 - more_urgent_share);
+}
+
+// Returns the time from getting a slot to the response or its first event.
+double OwnMs(const FleetUpstream& upstream, const PlacementRequest& request) {
+  auto out = static_cast<double>(request.mean_service_time.count());
+  if (request.service->engine) {
+    const EngineProfile& engine = *request.service->engine;
+    // The first token needs the end of the current batch iteration and one
+    // iteration with the prompt.
+    out = PrefillMs(engine, request.prompt_tokens) +
+          2 * engine.step_ms * engine.steps_per_iteration;
+  }
+  double slowdown =
+      upstream.status ? upstream.status->slowdown_percent / 100.0 : 1.0;
+  return out * std::max(slowdown, 1.0);
+}
+
 }  // namespace
 
-// A slot becomes free every mean_service_time / slots on average, so each
-// request ahead in the queue adds that long.
 double ExpectedWaitMs(const FleetUpstream& upstream,
                       const PlacementRequest& request, MonotonicTime now) {
-  int slots = std::max(upstream.record.slots, 1);
-  int ahead = upstream.ExpectedLoad(now) - slots + 1;
-  double slot_interval =
-      static_cast<double>(request.mean_service_time.count()) / slots;
-  return ahead <= 0 ? 0 : ahead * slot_interval;
+  if (request.priorities.empty()) return WaitMs(upstream, request, 1, 0, now);
+  const PriorityClass& own = FindClass(request.priorities, request.priority);
+  return WaitMs(upstream, request, own.ahead_share, own.more_urgent_share, now);
 }
 
 bool CanAccept(const FleetUpstream& upstream, const PlacementRequest& request,
@@ -34,19 +59,21 @@
     return upstream.ExpectedLoad(now) < slots - reserved;
   }
   if (wait_ms <= 0) return true;
-  double own = static_cast<double>(request.mean_service_time.count());
-  if (request.service->engine) {
-    const EngineProfile& engine = *request.service->engine;
-    // The first token needs the end of the current batch iteration and one
-    // iteration with the prompt.
-    own = PrefillMs(engine, request.prompt_tokens) +
-          2 * engine.step_ms * engine.steps_per_iteration;
-  }
-  double slowdown =
-      upstream.status ? upstream.status->slowdown_percent / 100.0 : 1.0;
-  double total =
-      request.waited.count() + wait_ms + own * std::max(slowdown, 1.0);
-  return total <= static_cast<double>(request.route->latency_target.count());
+  double own_ms = OwnMs(upstream, request);
+  auto target_ms = static_cast<double>(request.route->latency_target.count());
+  double total = static_cast<double>(request.waited.count()) +
+                 wait_ms * request.workspace_factor + own_ms;
+  if (total > target_ms) return false;
+  // Where a more urgent request would be late, a less urgent one with a longer
+  // target must not take the next slot.
+  return std::all_of(request.priorities.begin(), request.priorities.end(),
+                     [&](const PriorityClass& it) {
+                       if (it.priority >= request.priority) return true;
+                       double wait = WaitMs(upstream, request, it.ahead_share,
+                                            it.more_urgent_share, now);
+                       return wait + own_ms <=
+                              static_cast<double>(it.latency_target.count());
+                     });
 }
 
 double PrefillMs(const EngineProfile& engine, int64_t prompt_tokens) {
--- a/Source/Core/Fleet/placement_request.h
+++ b/Source/Core/Fleet/placement_request.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <map>
+#include <span>
 #include <string>
 
 #include "Core/Fleet/deployment.h"
+#include "Core/Fleet/priority_demand.h"
 
 namespace primrosecove {
 
@@ -23,6 +25,13 @@
   /// The caller has received a part of the response, which a refusal would
   /// waste.
   bool response_started = false;
+  /// Priorities of the service's requests, the most urgent first; empty where
+  /// all have the same.
+  std::span<const PriorityClass> priorities;
+  int priority =
+      0;  ///< Of this request; one of `priorities`, if there are any.
+  /// Weighs the expected wait; see PriorityDemand::WorkspaceFactor().
+  double workspace_factor = 1;
 };
 
 }  // namespace primrosecove
--- a/Source/Core/Fleet/retry_after.cc
+++ b/Source/Core/Fleet/retry_after.cc
@@ -18,4 +18,11 @@
   return std::max(soonest, kMinDelay) + spread;
 }
 
+Milliseconds ComputeRetryAfter(Milliseconds soonest, double random_value,
+                               size_t rank, size_t ranks) {
+  double part = (static_cast<double>(rank) + random_value) /
+                static_cast<double>(std::max<size_t>(ranks, 1));
+  return ComputeRetryAfter(soonest, part);
+}
+
 }  // namespace primrosecove
--- a/Source/Core/Fleet/route_table.cc
+++ b/Source/Core/Fleet/route_table.cc
@@ -54,4 +54,24 @@
   return it == config_.services.end() ? nullptr : &it->second;
 }
 
+std::map<int, Milliseconds> RouteTable::PrioritiesOf(
+    const std::string& service) const {
+  std::map<int, Milliseconds> out;
+  auto add = [&out](int priority, Milliseconds target) {
+    auto it = out.try_emplace(priority, target).first;
+    it->second = std::min(it->second, target);
+  };
+  for (const Route& route : config_.routes) {
+    bool leads_there = std::any_of(
+        route.services.begin(), route.services.end(),
+        [&](const ServiceShare& it) { return it.service == service; });
+    if (!leads_there) continue;
+    add(route.priority, route.latency_target);
+    for (const FleetWorkspace& it : config_.workspaces) {
+      if (it.priority) add(*it.priority, route.latency_target);
+    }
+  }
+  return out;
+}
+
 }  // namespace primrosecove
--- a/Source/Core/Fleet/route_table.h
+++ b/Source/Core/Fleet/route_table.h
@@ -29,6 +29,9 @@
   /// Whether requests need a key.
   bool needs_keys() const { return !config_.workspaces.empty(); }
   const FleetService* FindService(const std::string& name) const;
+  /// Returns the priorities of a service's requests with the shortest latency
+  /// target of each; at least one for a service with a route.
+  std::map<int, Milliseconds> PrioritiesOf(const std::string& service) const;
   const FleetConfig& config() const { return config_; }
 
  private:
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -117,6 +117,9 @@
   const FleetWorkspace* workspace =
       fields_.key ? routes_->FindKey(*fields_.key) : nullptr;
   allowed_regions_ = AllowedRegions(route_, workspace);
+  priority_ = route_->priority;
+  if (workspace != nullptr && workspace->priority)
+    priority_ = *workspace->priority;
   if (!routes_->needs_keys() || (route_->is_public && !fields_.key)) {
     return true;
   }
@@ -146,6 +149,7 @@
   MonotonicTime now = state_->Now();
   Placement placement = ChoosePlacement(now);
   if (placement.upstream != nullptr) return StartAttempt(placement);
+  if (PriorityDemand* demand = FindDemand()) demand->OnRefused(priority_, now);
   GiveUp(placement.refusal_reason, placement.retry_after);
 }
 
@@ -155,7 +159,7 @@
     return Finish("broken_off", 0, why);
   }
   if (MayHaveExecuted()) return Fail(502, "Bad Gateway", why);
-  Refuse(why, ComputeRetryAfter(retry_after, state_->RandomFraction()));
+  Refuse(why, RetryAfterFor(retry_after));
 }
 
 UpstreamFields FleetRequest::MakeUpstreamFields(const FleetUpstream& upstream,
@@ -164,6 +168,7 @@
   out.deadline = std::max(TimeLeft(), Milliseconds(1));
   out.upstream_id = attempt->upstream_id;
   out.workspace = workspace_;
+  out.priority = UpstreamPriority();
   if (service_->engine && route_->is_generative) {
     MonotonicTime now = state_->Now();
     uint64_t minimum_version =
@@ -245,6 +250,10 @@
   state_->rate_limits.OnSent(*upstream, WallClockMs());
   state_->rests.OnSent(*upstream, now);
   state_->cold_starts.OnSent(*upstream, *service_, now);
+  if (PriorityDemand* demand = FindDemand()) {
+    demand->OnSent(priority_, workspace_,
+                   EstimateServiceTime(MeanServiceTime()), now);
+  }
   if (is_suspect_) {
     attempt->sent_as_suspect =
         !state_->crash_correlator.HasActiveSuspect(attempt->upstream_id);
@@ -508,6 +517,8 @@
           << " wait_ms=" << placement_wait_.count()
           << " report_age_ms=" << placement_load_age_.count()
           << " waited_before_ms=" << caller_wait_.count()
+          << " priority=" << priority_
+          << " workspace=" << (workspace_.empty() ? "-" : workspace_)
           << " prompt=" << fields_.prompt_tokens << " answer="
           << fields_.expected_output_tokens.value_or(fields_.max_output_tokens)
           << " weights=" << weights_version_.value_or(0)
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -83,6 +83,12 @@
   void RecordConnectionLoss(FleetAttempt* attempt);
   void RecordLossIfSilent(FleetAttempt* attempt);
   Placement ChoosePlacement(MonotonicTime now);
+  // The demand of the priorities that the request competes with, or null if
+  // its service knows only one. The request's own priority is among them.
+  PriorityDemand* FindDemand() const;
+  // Priority in the upstream's queue, if requests differ there.
+  std::optional<int> UpstreamPriority() const;
+  Milliseconds RetryAfterFor(Milliseconds soonest);
   // When a request may be served whose last candidates were excluded for a
   // reason that ends with no known time.
   Milliseconds TimeToOtherCandidates(
@@ -163,6 +169,7 @@
   CallerFields fields_;
   std::string workspace_;
   AllowedRegions allowed_regions_;
+  int priority_ = 0;  // 0 is served first.
   MonotonicTime arrived_at_{0};
   Milliseconds caller_wait_{0};  // In earlier attempts of the same caller.
   MonotonicTime deadline_{0};    // When the complete response is due.
--- a/Source/Core/Router/fleet_request_placement.cc
+++ b/Source/Core/Router/fleet_request_placement.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "Core/Common/log.h"
+#include "Core/Fleet/retry_after.h"
 #include "Core/Router/fleet_request.h"
 
 namespace primrosecove {
@@ -112,6 +113,14 @@
       EstimateServiceTime(request.mean_service_time);
   request.waited = caller_wait_ + (now - arrived_at_);
   request.response_started = event_count_ > 0;
+  std::vector<PriorityClass> priorities;
+  if (PriorityDemand* demand = FindDemand()) {
+    priorities = demand->Classes(now);
+    request.priorities = priorities;
+    request.priority = priority_;
+    request.workspace_factor =
+        demand->WorkspaceFactor(priority_, workspace_, now);
+  }
   Placement out = state_->policy->Choose(candidates.upstreams(), request, now);
   if (!candidates.empty()) {
     out.refusal_reason = "all upstreams at capacity";
@@ -126,6 +135,29 @@
   return out;
 }
 
+PriorityDemand* FleetRequest::FindDemand() const {
+  // A request may outlive the configuration that knows its priority.
+  if (routes_ != state_->routes) return nullptr;
+  return state_->PriorityDemandFor(service_->name);
+}
+
+std::optional<int> FleetRequest::UpstreamPriority() const {
+  if (FindDemand() == nullptr) return std::nullopt;
+  // Callers that are late in any case rank behind those in time.
+  Milliseconds waited = caller_wait_ + (state_->Now() - arrived_at_);
+  if (event_count_ == 0 && waited > route_->latency_target)
+    return UpstreamFields::kMaxPriority;
+  return std::clamp(priority_, 0, UpstreamFields::kMaxPriority - 1);
+}
+
+Milliseconds FleetRequest::RetryAfterFor(Milliseconds soonest) {
+  double random_value = state_->RandomFraction();
+  PriorityDemand* demand = FindDemand();
+  if (demand == nullptr) return ComputeRetryAfter(soonest, random_value);
+  return ComputeRetryAfter(soonest, random_value, demand->RankOf(priority_),
+                           demand->size());
+}
+
 // No slot that becomes free helps a request whose upstreams are all in other
 // regions or evacuated zones, only a change of the deployment.
 Milliseconds FleetRequest::TimeToOtherCandidates(
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -71,6 +71,22 @@
   return retry_budgets.try_emplace(service, settings.bounds).first->second;
 }
 
+PriorityDemand* FleetState::PriorityDemandFor(const std::string& service) {
+  auto it = priority_demands.find(service);
+  return it == priority_demands.end() ? nullptr : &it->second;
+}
+
+void FleetState::UpdatePriorities() {
+  for (const auto& [name, service] : routes->config().services) {
+    auto targets = routes->PrioritiesOf(name);
+    if (targets.size() > 1) {
+      priority_demands[name].SetTargets(targets);
+    } else {
+      priority_demands.erase(name);
+    }
+  }
+}
+
 Milliseconds FleetState::MeanServiceTime(const std::string& service,
                                          Milliseconds fallback) {
   auto it = mean_service_time_ms.find(service);
@@ -160,6 +176,8 @@
     state_.rate_limits.Update(state_.registry, state_.Now());
     state_.rests.RemoveExpired(state_.Now());
     state_.cold_starts.RemoveExpired(state_.Now());
+    for (auto& [service, demand] : state_.priority_demands)
+      demand.RemoveExpired(state_.Now());
   });
   last_check_at_ = state_.Now();
   request_check_timer_ =
@@ -243,6 +261,7 @@
     return;
   }
   state_.routes = std::make_shared<const RouteTable>(config);
+  state_.UpdatePriorities();
   caller_server_->SetLimits(
       MakeCallerServerLimits(config.limits, state_.settings));
   remote_update_due_ = true;
--- a/Source/Core/Router/fleet_state.h
+++ b/Source/Core/Router/fleet_state.h
@@ -18,6 +18,7 @@
 #include "Core/Fleet/freshness.h"
 #include "Core/Fleet/minimum_version.h"
 #include "Core/Fleet/placement_policy.h"
+#include "Core/Fleet/priority_demand.h"
 #include "Core/Fleet/route_table.h"
 #include "Core/Fleet/upstream_rate_limits.h"
 #include "Core/Fleet/upstream_registry.h"
@@ -73,6 +74,8 @@
   MinimumVersion minimum_versions{Milliseconds(0)};
   std::unique_ptr<PlacementPolicy> policy;
   CallerWaitEstimator wait_estimator;
+  /// Of the services whose requests have several priorities.
+  std::map<std::string, PriorityDemand> priority_demands;
   std::map<std::string, FleetRetryBudget> retry_budgets;  ///< By service.
   /// Moving average of the service time of a request, in ms, by service.
   std::map<std::string, double> mean_service_time_ms;
@@ -96,6 +99,11 @@
   }
   FleetRetryBudget& RetryBudgetFor(const std::string& service);
   /// Returns the moving average of a service's time, or `fallback` without one.
+  /// Returns the demand for a service, or null if all its requests have the
+  /// same priority.
+  PriorityDemand* PriorityDemandFor(const std::string& service);
+  /// Sets the priorities of all services by the configuration in force.
+  void UpdatePriorities();
   Milliseconds MeanServiceTime(const std::string& service,
                                Milliseconds fallback);
   void RecordServiceTime(const std::string& service, Milliseconds time);
