--- a/Source/Core/Fleet/admission.cc
+++ b/Source/Core/Fleet/admission.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace primrosecove {
 namespace {
@@ -27,13 +28,14 @@
 }
 
 // Returns the time from getting a slot to the response or its first event.
-double OwnMs(const FleetUpstream& upstream, const PlacementRequest& request) {
+double OwnMs(const FleetUpstream& upstream, const PlacementRequest& request,
+             int64_t prompt_tokens) {
   auto out = static_cast<double>(request.mean_service_time.count());
   if (request.service->engine) {
     const EngineProfile& engine = *request.service->engine;
     // The first token needs the end of the current batch iteration and one
     // iteration with the prompt.
-    out = PrefillMs(engine, request.prompt_tokens) +
+    out = PrefillMs(engine, prompt_tokens) +
           2 * engine.step_ms * engine.steps_per_iteration;
   }
   double slowdown =
@@ -41,6 +43,22 @@
   return out * std::max(slowdown, 1.0);
 }
 
+// Returns whether a typical request of a priority would meet its target.
+bool FitsTarget(const FleetUpstream& upstream, const PlacementRequest& request,
+                const PriorityClass& it, MonotonicTime now) {
+  if (it.latency_target.count() == 0) return true;
+  int64_t tokens = request.prompt_tokens;
+  if (request.service->engine &&
+      request.service->engine->typical_prompt_tokens > 0) {
+    tokens =
+        static_cast<int64_t>(request.service->engine->typical_prompt_tokens);
+  }
+  double wait =
+      WaitMs(upstream, request, it.ahead_share, it.more_urgent_share, now);
+  return wait + OwnMs(upstream, request, tokens) <=
+         static_cast<double>(it.latency_target.count());
+}
+
 }  // namespace
 
 double ExpectedWaitMs(const FleetUpstream& upstream,
@@ -56,24 +74,29 @@
   if (request.waited > request.route->latency_target) {
     int slots = std::max(upstream.record.slots, 1);
     auto reserved = static_cast<int>(std::ceil(kReservedShare * slots));
+    // An upstream that orders its queue by priority serves late requests last.
+    if (!request.priorities.empty()) reserved = 0;
     return upstream.ExpectedLoad(now) < slots - reserved;
   }
   if (wait_ms <= 0) return true;
-  double own_ms = OwnMs(upstream, request);
   auto target_ms = static_cast<double>(request.route->latency_target.count());
-  double total = static_cast<double>(request.waited.count()) +
-                 wait_ms * request.workspace_factor + own_ms;
-  if (total > target_ms) return false;
+  double start_ms = static_cast<double>(request.waited.count()) +
+                    OwnMs(upstream, request, request.prompt_tokens);
+  if (start_ms + wait_ms > target_ms) return false;
+  if (request.priorities.empty()) return true;
+  auto fits = [&](const PriorityClass& it) {
+    return FitsTarget(upstream, request, it, now);
+  };
+  auto own = std::find_if(
+      request.priorities.begin(), request.priorities.end(),
+      [&](const auto& it) { return it.priority >= request.priority; });
   // Where a more urgent request would be late, a less urgent one with a longer
   // target must not take the next slot.
-  return std::all_of(request.priorities.begin(), request.priorities.end(),
-                     [&](const PriorityClass& it) {
-                       if (it.priority >= request.priority) return true;
-                       double wait = WaitMs(upstream, request, it.ahead_share,
-                                            it.more_urgent_share, now);
-                       return wait + own_ms <=
-                              static_cast<double>(it.latency_target.count());
-                     });
+  if (!std::all_of(request.priorities.begin(), own, fits)) return false;
+  if (start_ms + wait_ms * request.workspace_factor <= target_ms) return true;
+  // A workspace that uses more than its share still goes before the less
+  // urgent requests of others.
+  return std::any_of(std::next(own), request.priorities.end(), fits);
 }
 
 double PrefillMs(const EngineProfile& engine, int64_t prompt_tokens) {
--- a/Source/Core/Fleet/candidate_set.h
+++ b/Source/Core/Fleet/candidate_set.h
@@ -1,6 +1,7 @@
 // The upstreams that may get a request, and why the others may not.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <concepts>
 #include <cstddef>
@@ -8,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "Core/Fleet/upstream_registry.h"
--- a/Source/Core/Fleet/cold_start_limits.cc
+++ b/Source/Core/Fleet/cold_start_limits.cc
@@ -19,7 +19,7 @@
 
 ColdStartLimits::ColdStartLimits(const FleetBounds& bounds, uint64_t router_id,
                                  Milliseconds started_at)
-    : routers_(bounds.retry_window, kUnknownRouters),
+    : routers_(bounds.retry_window, 1),
       router_id_(router_id),
       started_at_(started_at) {
   SetBounds(bounds);
@@ -31,6 +31,12 @@
   slack_ = std::max(bounds.cold_slack, 0.0);
 }
 
+void ColdStartLimits::SetRouterCount(int routers, Milliseconds now) {
+  if (routers <= 0) return;
+  if (!first_report_at_) first_report_at_ = now;
+  routers_.Report(routers, now);
+}
+
 bool ColdStartLimits::MayBeCold(const FleetUpstream& upstream,
                                 const FleetService& service,
                                 const ZoneEvacuations& evacuations,
@@ -38,27 +44,36 @@
   if (now < upstream.cold_until) return true;
   auto since_end = evacuations.TimeSinceEnd(upstream.record.zone, now);
   if (since_end && *since_end < service.cold_start) return true;
+  // An earlier process may have had the same id.
+  MonotonicTime seen_at =
+      std::max(upstream.registered_at, upstream.start_seen_at);
   int64_t start_ms = upstream.StartTimeMs();
-  bool is_old = start_ms > 0 && Milliseconds(unix_ms - start_ms) >
-                                    service.cold_start + kMaxClockError;
-  return !is_old && now - upstream.registered_at < service.cold_start;
+  if (start_ms <= 0) return now - seen_at < service.cold_start;
+  Milliseconds age(unix_ms - start_ms);
+  if (age < service.cold_start) return true;
+  return age <= service.cold_start + kMaxClockError &&
+         now - seen_at < service.cold_start;
 }
 
-ColdStartLimits::Share ColdStartLimits::ShareOf(double per_second) const {
+ColdStartLimits::Share ColdStartLimits::ShareOf(double per_second,
+                                                Milliseconds now) const {
   constexpr double kMinShare = 1e-3;
   // The turns of the routers are random, so some seconds have more than others.
-  constexpr double kTurnMargin = 1.5;
-  double share = per_second / routers_.value();
+  constexpr double kTurnMargin = 2.5;
+  int routers = KnowsRouterCount(now) ? routers_.value() : kUnknownRouters;
+  double share = per_second / std::max(routers, 1);
   if (share >= 1) return {static_cast<size_t>(share), 1};
   return {1, static_cast<int64_t>(
                  std::ceil(kTurnMargin / std::max(share, kMinShare)))};
 }
 
 ColdStartLimits::Share ColdStartLimits::LimitOf(const FleetService& service,
-                                                bool may_be_cold) const {
+                                                bool may_be_cold,
+                                                Milliseconds now) const {
   if (service.cold_start_rate <= 0) return {};
-  if (may_be_cold) return ShareOf(service.cold_start_rate);
-  Share out = ShareOf(service.cold_start_rate * overage_ + slack_);
+  if (may_be_cold) return ShareOf(service.cold_start_rate, now);
+  if (!KnowsRouterCount(now)) return {kMinWarmShare, 1};
+  Share out = ShareOf(service.cold_start_rate * overage_ + slack_, now);
   return out.requests >= kMinWarmShare ? out : Share{};
 }
 
@@ -76,14 +91,15 @@
 Milliseconds ColdStartLimits::TimeToSend(const std::string& upstream_id,
                                          const Share& share, Milliseconds now,
                                          int64_t unix_ms) const {
-  Milliseconds turn = share.turns > 1
-                          ? TimeToTurn(upstream_id, share.turns, unix_ms)
-                          : Milliseconds(0);
+  Milliseconds wait(0);
   auto it = sends_.find(upstream_id);
-  if (it == sends_.end() || it->second.size() < share.requests) return turn;
-  // The earliest of the last `requests` sends has to leave the window first.
-  Milliseconds earliest = it->second[it->second.size() - share.requests];
-  return std::max(earliest + kWindow - now, turn);
+  if (it != sends_.end() && it->second.size() >= share.requests) {
+    // The earliest of the last `requests` sends has to leave the window first.
+    Milliseconds earliest = it->second[it->second.size() - share.requests];
+    wait = std::max(earliest + kWindow - now, wait);
+  }
+  if (share.turns <= 1) return wait;
+  return wait + TimeToTurn(upstream_id, share.turns, unix_ms + wait.count());
 }
 
 std::optional<Milliseconds> ColdStartLimits::RemoveLimited(
@@ -94,10 +110,10 @@
   std::optional<Milliseconds> out;
   std::erase_if(*candidates, [&](const FleetUpstream* it) {
     bool may_be_cold = MayBeCold(*it, service, evacuations, now, unix_ms);
-    Share share = LimitOf(service, may_be_cold);
+    Share share = LimitOf(service, may_be_cold, now);
     if (share.requests == 0) return false;
     Milliseconds time = TimeToSend(it->record.id, share, now, unix_ms);
-    if (may_be_cold) time = std::max(time, started_at_ + kWindow - now);
+    time = std::max(time, started_at_ + kWindow - now);
     if (time.count() <= 0) return false;
     out = std::min(out.value_or(time), time);
     return true;
--- a/Source/Core/Fleet/cold_start_limits.h
+++ b/Source/Core/Fleet/cold_start_limits.h
@@ -14,9 +14,9 @@
 
 namespace primrosecove {
 
-/// Answers the load in which many routers send to an upstream that has just
-/// started, or has become cold again, because it is idle: it would crash. Each
-/// router keeps to an equal share of what the upstream bears, so that the sum
+/// Limits requests when many routers send to an upstream that has just started,
+/// or has become cold again, because it is idle: it would crash. Each router
+/// keeps to an equal share of what the upstream tolerates, so that the sum
 /// holds without communication, also between routers that have lost the store.
 /// Not thread safe; callers pass the time since the process's start.
 class ColdStartLimits {
@@ -24,8 +24,12 @@
   /// Assumed until agents have reported the number of routers: that of the
   /// largest deployment this is designed for.
   static constexpr int kUnknownRouters = 340;
-  /// Any span of this length counts.
-  static constexpr Milliseconds kWindow{1000};
+  /// How long a send counts. Any second counts at the upstream; a request may
+  /// be written a little later than it is placed.
+  static constexpr Milliseconds kWindow{1100};
+  /// After the first report of the number of routers, agents that have just
+  /// started may still report fewer for this long.
+  static constexpr Milliseconds kReportSettleTime{2000};
 
   /// A process that was replaced by this one may have sent requests until just
   /// before `started_at`. `router_id` differs between routers.
@@ -34,9 +38,7 @@
 
   void SetBounds(const FleetBounds& bounds);
   /// Records the number of routers that an agent reports.
-  void SetRouterCount(int routers, Milliseconds now) {
-    routers_.Report(routers, now);
-  }
+  void SetRouterCount(int routers, Milliseconds now);
   /// Returns whether an upstream of a service with a cold-start rate is not
   /// known to be warm. `unix_ms` is the wall clock.
   static bool MayBeCold(const FleetUpstream& upstream,
@@ -63,14 +65,19 @@
     size_t requests = 0;  // 0: not limited.
     int64_t turns = 1;
   };
-  Share ShareOf(double per_second) const;
-  Share LimitOf(const FleetService& service, bool may_be_cold) const;
+  Share ShareOf(double per_second, Milliseconds now) const;
+  Share LimitOf(const FleetService& service, bool may_be_cold,
+                Milliseconds now) const;
+  bool KnowsRouterCount(Milliseconds now) const {
+    return first_report_at_ && now - *first_report_at_ >= kReportSettleTime;
+  }
   Milliseconds TimeToTurn(const std::string& upstream_id, int64_t turns,
                           int64_t unix_ms) const;
   Milliseconds TimeToSend(const std::string& upstream_id, const Share& share,
                           Milliseconds now, int64_t unix_ms) const;
 
   RouterCount routers_;
+  std::optional<Milliseconds> first_report_at_;
   double overage_ = 1;
   double slack_ = 0;
   uint64_t router_id_;
--- a/Source/Core/Fleet/deployment.h
+++ b/Source/Core/Fleet/deployment.h
@@ -88,8 +88,8 @@
   int max_connections = 0;  ///< Per upstream, from all routers together.
   std::optional<EngineProfile> engine;
   Milliseconds cold_start{0};  ///< How long an upstream is cold after a start.
-  /// Requests per second that a cold upstream bears from all routers together;
-  /// 0: not limited.
+  /// Requests per second that a cold upstream tolerates from all routers
+  /// together; 0: not limited.
   double cold_start_rate = 0;
   std::optional<Endpoint> origin;  ///< Set if the service distributes weights.
 };
--- a/Source/Core/Fleet/placement_policy.h
+++ b/Source/Core/Fleet/placement_policy.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <span>
+#include <string>
 #include <string_view>
 
 #include "Core/Fleet/placement_request.h"
@@ -16,6 +17,8 @@
   Milliseconds wait{0};               ///< Expected in the upstream's queue.
   /// When an upstream should have a free slot; set if none was chosen.
   Milliseconds retry_after{0};
+  size_t candidates = 0;  ///< Number of upstreams that were considered.
+  std::string excluded;   ///< Why there was none, for the log.
   const char* refusal_reason = "";  ///< For the log; set if none was chosen.
 };
 
--- a/Source/Core/Fleet/priority_demand.cc
+++ b/Source/Core/Fleet/priority_demand.cc
@@ -10,6 +10,8 @@
 constexpr double kMaxShare = 0.9;
 // Less use than this, in milliseconds of a slot, is forgotten.
 constexpr double kMinUseMs = 1;
+// A workspace competes if it uses at least this part of an equal share.
+constexpr double kMinCompetingShare = 0.1;
 
 }  // namespace
 
@@ -72,9 +74,13 @@
   auto own = demand.by_workspace_ms.find(workspace);
   double total = demand.sent_ms.At(now);
   if (own == demand.by_workspace_ms.end() || total < kMinUseMs) return 1;
-  // Uses relative to an equal share of all workspaces with recent requests.
-  double uses = own->second.At(now) / total *
-                static_cast<double>(demand.by_workspace_ms.size());
+  // Workspaces with hardly any requests do not compete for an equal share.
+  double least = kMinCompetingShare * total /
+                 static_cast<double>(demand.by_workspace_ms.size());
+  auto competing = std::count_if(
+      demand.by_workspace_ms.begin(), demand.by_workspace_ms.end(),
+      [&](const auto& entry) { return entry.second.At(now) >= least; });
+  double uses = own->second.At(now) / total * static_cast<double>(competing);
   return 1 + pressure * std::max(uses - 1, 0.0);
 }
 
--- a/Source/Core/Fleet/priority_demand.h
+++ b/Source/Core/Fleet/priority_demand.h
@@ -16,7 +16,7 @@
 /// admit the more urgent first.
 struct PriorityClass {
   int priority = 0;                ///< 0 is served first.
-  Milliseconds latency_target{0};  ///< The shortest of its routes.
+  Milliseconds latency_target{0};  ///< The shortest of its routes; 0: none.
   /// Share of the service's time that more urgent requests use.
   double more_urgent_share = 0;
   /// Share of the waiting requests that are served before a new one of this
@@ -25,9 +25,9 @@
 };
 
 /// Measures the demand for one service from the requests of this router. A
-/// restart loses it; it is rebuilt within seconds. Answers the load in which
-/// callers of several priorities, or of uneven workspaces, compete for too few
-/// slots. Not thread safe; callers pass the time since the process's start.
+/// restart loses it; it is rebuilt within seconds. Used where callers of
+/// several priorities, or of uneven workspaces, compete for too few slots. Not
+/// thread safe; callers pass the time since the process's start.
 class PriorityDemand {
  public:
   /// Sets the priorities that the configuration knows for the service, with
@@ -55,6 +55,7 @@
     return static_cast<size_t>(std::distance(
         by_priority_.begin(), by_priority_.lower_bound(priority)));
   }
+  bool Knows(int priority) const { return by_priority_.contains(priority); }
   /// Returns how many priorities the service knows.
   size_t size() const { return by_priority_.size(); }
 
--- a/Source/Core/Fleet/route_table.cc
+++ b/Source/Core/Fleet/route_table.cc
@@ -59,7 +59,9 @@
   std::map<int, Milliseconds> out;
   auto add = [&out](int priority, Milliseconds target) {
     auto it = out.try_emplace(priority, target).first;
-    it->second = std::min(it->second, target);
+    bool is_shorter =
+        target.count() > 0 && (it->second.count() == 0 || target < it->second);
+    if (is_shorter) it->second = target;
   };
   for (const Route& route : config_.routes) {
     bool leads_there = std::any_of(
--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -102,8 +102,15 @@
       upstream.refuses_connections = false;
     }
     upstream.record = *change.record;
-    if (upstream.record.cold_start_remaining)
-      upstream.cold_until = now + *upstream.record.cold_start_remaining;
+    if (restarted) {
+      upstream.start_seen_at = now;
+      upstream.cold_until = now;
+    }
+    // A registration may be older than a response that states a later end.
+    if (upstream.record.cold_start_remaining) {
+      upstream.cold_until = std::max(
+          upstream.cold_until, now + *upstream.record.cold_start_remaining);
+    }
     upstream.registration_expires_at.reset();
     UpdateStatesLeaving(&upstream);
     if (!changed) return;
@@ -223,7 +230,10 @@
     bool responds_again =
         upstream.status && !upstream.status->responding && status.responding;
     if (responds_again) EndSilentFailures(&upstream, now);
+    int64_t start_time_ms = upstream.StartTimeMs();
     upstream.status = status;
+    if (start_time_ms != 0 && upstream.StartTimeMs() > start_time_ms)
+      upstream.start_seen_at = now;
     UpdateStatesLeaving(&upstream);
     upstream.reload_at.reset();
     if (status.reload_in_ms != UpstreamStatus::kNoReloadPlanned) {
@@ -252,9 +262,15 @@
 }
 
 void UpstreamRegistry::RecordColdStart(const std::string& id,
+                                       int64_t start_time_ms,
                                        Milliseconds remaining,
                                        MonotonicTime now) {
-  if (FleetUpstream* it = Find(id)) it->cold_until = now + remaining;
+  FleetUpstream* it = Find(id);
+  if (it == nullptr) return;
+  bool is_earlier_process =
+      start_time_ms != 0 && start_time_ms < it->StartTimeMs();
+  if (!is_earlier_process)
+    it->cold_until = std::max(it->cold_until, now + remaining);
 }
 
 void UpstreamRegistry::OnSent(const std::string& id, MonotonicTime now) {
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -25,6 +25,8 @@
   /// The time at which the upstream is removed. Set if its registration ended
   /// while the store was unreachable.
   std::optional<MonotonicTime> registration_expires_at;
+  /// When the start of its present process was first seen.
+  MonotonicTime start_seen_at{-1'000'000};
   /// Until when it is cold, by its registration and its responses.
   MonotonicTime cold_until{-1'000'000};
   /// The last status from its agent; empty until one has arrived.
@@ -118,9 +120,10 @@
   void RecordStatus(const UpstreamStatus& status, MonotonicTime now);
   void RecordResponseLoad(const std::string& id, const UpstreamLoad& load,
                           MonotonicTime now);
-  /// Records how much longer an upstream is cold, as stated in a response.
-  void RecordColdStart(const std::string& id, Milliseconds remaining,
-                       MonotonicTime now);
+  /// Records how much longer the process of an upstream is cold, as stated in a
+  /// response; `start_time_ms` is 0 if unknown.
+  void RecordColdStart(const std::string& id, int64_t start_time_ms,
+                       Milliseconds remaining, MonotonicTime now);
   void OnSent(const std::string& id, MonotonicTime now);
   /// Records that response data arrived.
   void OnProgress(const std::string& id, MonotonicTime now);
--- a/Source/Core/Fleet/zone_evacuations.cc
+++ b/Source/Core/Fleet/zone_evacuations.cc
@@ -6,15 +6,22 @@
 
 namespace primrosecove {
 
-void ZoneEvacuations::Apply(const ZoneEvacuation& change, Milliseconds now) {
+void ZoneEvacuations::OnStoreRestored(Milliseconds now) {
+  restored_at_ = now;
+  for (auto& [zone, end] : ends_) {
+    if (end && now < *end) end = std::max(*end, now + kRestoreSettleTime);
+  }
+}
+
+bool ZoneEvacuations::Apply(const ZoneEvacuation& change, Milliseconds now) {
   auto it = ends_.find(change.zone);
   if (change.evacuated) {
     bool is_new = it == ends_.end() || (it->second && *it->second <= now);
     ends_[change.zone] = std::nullopt;
     if (is_new) PC_INFO(kConfig, "event=zone_evacuated zone=" << change.zone);
-    return;
+    return is_new;
   }
-  if (it == ends_.end() || (it->second && *it->second <= now)) return;
+  if (it == ends_.end() || (it->second && *it->second <= now)) return false;
   Milliseconds end = now;
   if (change.is_inferred && restored_at_)
     end = std::max(now, *restored_at_ + kRestoreSettleTime);
@@ -23,6 +30,7 @@
   PC_INFO(kConfig, "event=zone_evacuation_ended zone="
                        << change.zone << " inferred=" << change.is_inferred
                        << " delay_ms=" << (end - now).count());
+  return false;
 }
 
 bool ZoneEvacuations::IsEvacuated(const std::string& zone,
--- a/Source/Core/Fleet/zone_evacuations.h
+++ b/Source/Core/Fleet/zone_evacuations.h
@@ -21,9 +21,10 @@
   /// Applies a change from the store. An end that is inferred from a read of a
   /// store that was restored recently takes effect after kRestoreSettleTime,
   /// unless the evacuation is seen again before.
-  void Apply(const ZoneEvacuation& change, Milliseconds now);
+  /// Returns whether the zone is evacuated by this change.
+  bool Apply(const ZoneEvacuation& change, Milliseconds now);
   /// Records that the store has been restored from a copy.
-  void OnStoreRestored(Milliseconds now) { restored_at_ = now; }
+  void OnStoreRestored(Milliseconds now);
 
   bool IsEvacuated(const std::string& zone, Milliseconds now) const;
   /// Returns the time since the last evacuation of a zone ended, or nothing if
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -149,7 +149,14 @@
   MonotonicTime now = state_->Now();
   Placement placement = ChoosePlacement(now);
   if (placement.upstream != nullptr) return StartAttempt(placement);
-  if (PriorityDemand* demand = FindDemand()) demand->OnRefused(priority_, now);
+  if (placement.candidates == 0) {
+    PC_INFO(kRouter, "event=no_candidate id=" << fields_.request_id
+                                              << " excluded=\""
+                                              << placement.excluded << "\"");
+  }
+  PriorityDemand* demand = FindDemand();
+  if (demand != nullptr && placement.candidates > 0)
+    demand->OnRefused(priority_, now);
   GiveUp(placement.refusal_reason, placement.retry_after);
 }
 
@@ -251,8 +258,12 @@
   state_->rests.OnSent(*upstream, now);
   state_->cold_starts.OnSent(*upstream, *service_, now);
   if (PriorityDemand* demand = FindDemand()) {
+    // A caller's estimate of the length may be far off.
+    constexpr int kMaxMeanTimes = 4;
+    Milliseconds mean = MeanServiceTime();
     demand->OnSent(priority_, workspace_,
-                   EstimateServiceTime(MeanServiceTime()), now);
+                   std::min(EstimateServiceTime(mean), kMaxMeanTimes * mean),
+                   now);
   }
   if (is_suspect_) {
     attempt->sent_as_suspect =
@@ -293,7 +304,8 @@
   state_->rests.OnResponse(id, attempt->upstream_start_time_ms, response,
                            attempt->sent_at, state_->RandomFraction(), now);
   if (response.cold_start_remaining)
-    state_->registry.RecordColdStart(id, *response.cold_start_remaining, now);
+    state_->registry.RecordColdStart(id, attempt->upstream_start_time_ms,
+                                     *response.cold_start_remaining, now);
   if (response.load)
     state_->registry.RecordResponseLoad(id, *response.load, now);
   bool is_success = IsSuccess(head.status) && response.is_signed;
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -99,6 +99,11 @@
   void Dispatch();
   // The upstreams that may get the request, without a choice among them.
   CandidateSet FindCandidates(MonotonicTime now);
+  void ExcludeByRegion(const AllowedRegions& regions,
+                       CandidateSet* candidates) const;
+  // The regions that the configuration in force allows the request, which may
+  // be a later one than the request's own.
+  AllowedRegions CurrentRegions() const;
   void ExcludeByWeights(CandidateSet* candidates, MonotonicTime now) const;
   void StartAttempt(const Placement& placement);
   UpstreamFields MakeUpstreamFields(const FleetUpstream& upstream,
--- a/Source/Core/Router/fleet_request_placement.cc
+++ b/Source/Core/Router/fleet_request_placement.cc
@@ -1,7 +1,6 @@
 // Choice of the upstream of a FleetRequest.
 #include <algorithm>
 
-#include "Core/Common/log.h"
 #include "Core/Fleet/retry_after.h"
 #include "Core/Router/fleet_request.h"
 
@@ -41,10 +40,8 @@
 
 CandidateSet FleetRequest::FindCandidates(MonotonicTime now) {
   CandidateSet out(state_->registry.Accepting(service_->name, now));
-  out.Exclude(ExclusionReason::kRegion, [this](const FleetUpstream& it) {
-    return !allowed_regions_.Allows(
-        RegionOfZone(state_->settings, it.record.zone));
-  });
+  ExcludeByRegion(allowed_regions_, &out);
+  if (routes_ != state_->routes) ExcludeByRegion(CurrentRegions(), &out);
   out.Exclude(ExclusionReason::kEvacuation, [&](const FleetUpstream& it) {
     return state_->evacuations.IsEvacuated(it.record.zone, now);
   });
@@ -86,6 +83,22 @@
   return out;
 }
 
+void FleetRequest::ExcludeByRegion(const AllowedRegions& regions,
+                                   CandidateSet* candidates) const {
+  if (!regions.is_restricted()) return;
+  candidates->Exclude(ExclusionReason::kRegion, [&](const FleetUpstream& it) {
+    return !regions.Allows(RegionOfZone(state_->settings, it.record.zone));
+  });
+}
+
+AllowedRegions FleetRequest::CurrentRegions() const {
+  const HttpRequest& request = exchange_->request();
+  const RouteTable& routes = *state_->routes;
+  return {
+      routes.Match(request.headers.Find("Host").value_or(""), request.Path()),
+      fields_.key ? routes.FindKey(*fields_.key) : nullptr};
+}
+
 void FleetRequest::ExcludeByWeights(CandidateSet* candidates,
                                     MonotonicTime now) const {
   uint64_t minimum_version =
@@ -122,6 +135,7 @@
         demand->WorkspaceFactor(priority_, workspace_, now);
   }
   Placement out = state_->policy->Choose(candidates.upstreams(), request, now);
+  out.candidates = candidates.upstreams().size();
   if (!candidates.empty()) {
     out.refusal_reason = "all upstreams at capacity";
     return out;
@@ -129,23 +143,22 @@
   out.refusal_reason = RefusalReason(candidates.LastReason());
   out.retry_after = candidates.time_to_request().value_or(
       TimeToOtherCandidates(candidates.LastReason()));
-  PC_INFO(kRouter, "event=no_candidate id=" << fields_.request_id
-                                            << " excluded=\""
-                                            << candidates.Summary() << "\"");
+  out.excluded = candidates.Summary();
   return out;
 }
 
 PriorityDemand* FleetRequest::FindDemand() const {
+  PriorityDemand* out = state_->PriorityDemandFor(service_->name);
   // A request may outlive the configuration that knows its priority.
-  if (routes_ != state_->routes) return nullptr;
-  return state_->PriorityDemandFor(service_->name);
+  return out != nullptr && out->Knows(priority_) ? out : nullptr;
 }
 
 std::optional<int> FleetRequest::UpstreamPriority() const {
   if (FindDemand() == nullptr) return std::nullopt;
   // Callers that are late in any case rank behind those in time.
   Milliseconds waited = caller_wait_ + (state_->Now() - arrived_at_);
-  if (event_count_ == 0 && waited > route_->latency_target)
+  Milliseconds target = route_->latency_target;
+  if (event_count_ == 0 && target.count() > 0 && waited > target)
     return UpstreamFields::kMaxPriority;
   return std::clamp(priority_, 0, UpstreamFields::kMaxPriority - 1);
 }
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -240,11 +240,11 @@
     state_.minimum_versions.SetTarget(target->model, target->version,
                                       !state_.deployment_read, now);
   } else if (const auto* evacuation = std::get_if<ZoneEvacuation>(&change)) {
-    if (!state_.settings.region_of_zone.contains(evacuation->zone)) {
+    bool is_new = state_.evacuations.Apply(*evacuation, now);
+    if (is_new && !state_.settings.region_of_zone.contains(evacuation->zone)) {
       PC_WARN(kConfig,
               "event=evacuation_of_unknown_zone zone=" << evacuation->zone);
     }
-    state_.evacuations.Apply(*evacuation, now);
   }
 }
 
--- a/Source/Core/Router/fleet_state.h
+++ b/Source/Core/Router/fleet_state.h
@@ -98,12 +98,12 @@
                                                      started_at);
   }
   FleetRetryBudget& RetryBudgetFor(const std::string& service);
-  /// Returns the moving average of a service's time, or `fallback` without one.
   /// Returns the demand for a service, or null if all its requests have the
   /// same priority.
   PriorityDemand* PriorityDemandFor(const std::string& service);
   /// Sets the priorities of all services by the configuration in force.
   void UpdatePriorities();
+  /// Returns the moving average of a service's time, or `fallback` without one.
   Milliseconds MeanServiceTime(const std::string& service,
                                Milliseconds fallback);
   void RecordServiceTime(const std::string& service, Milliseconds time);
--- a/Source/UnitTests/Fleet/priority_demand_test.cc
+++ b/Source/UnitTests/Fleet/priority_demand_test.cc
@@ -154,9 +154,47 @@
   auto classes = MakeDemand({200, 110, 160}).Classes(Ms(10'000));
   fixture.request.workspace_factor = 20;
   CHECK(fixture.Accepts(classes, 0, kSlots - 1));
+  // Requests of others that are less urgent do not fit either.
+  CHECK_FALSE(fixture.Accepts(classes, 0, 3 * kSlots));
+}
+
+// Refused callers of the most urgent kind return late, among first attempts of
+// the least urgent.
+TEST_CASE("a late request is refused no free slot") {
+  Fixture fixture;
+  auto classes = MakeDemand({200, 110, 420}).Classes(Ms(10'000));
+  fixture.request.waited = Ms(900);
+  for (int load = 0; load < kSlots; ++load)
+    CHECK(fixture.Accepts(classes, 0, load));
   CHECK_FALSE(fixture.Accepts(classes, 0, kSlots));
 }
 
+// A large workspace under refusals must not fall behind less urgent requests.
+TEST_CASE("the share of its workspace does not reverse a request's priority") {
+  auto classes = MakeDemand({200, 110, 160}).Classes(Ms(10'000));
+  for (double factor : {1.5, 3.0, 20.0}) {
+    for (int64_t prompt : {100, 900, 5000}) {
+      for (int load = 0; load < 5 * kSlots; ++load) {
+        INFO("factor " << factor << ", prompt " << prompt << ", load " << load);
+        Fixture fixture;
+        fixture.request.workspace_factor = factor;
+        bool urgent = fixture.Accepts(classes, 0, load);
+        fixture.request.workspace_factor = 1;
+        fixture.request.prompt_tokens = prompt;
+        CHECK((urgent || !fixture.Accepts(classes, 2, load)));
+      }
+    }
+  }
+}
+
+TEST_CASE("a route without a latency target holds back no other request") {
+  PriorityDemand demand;
+  demand.SetTargets({{0, Ms(0)}, {2, Ms(1000)}});
+  auto classes = demand.Classes(Ms(0));
+  Fixture fixture;
+  CHECK(fixture.Accepts(classes, 2, kSlots));
+}
+
 // Refused callers of all priorities would otherwise return together.
 TEST_CASE("refused callers return in the order of their priorities") {
   for (double random_value : {0.0, 0.5, 0.99}) {
