--- a/Source/Core/Router/fleet_request_placement.cc
+++ b/Source/Core/Router/fleet_request_placement.cc
@@ -1,7 +1,7 @@
 // Choice of the upstream of a FleetRequest.
 #include <algorithm>
 
-#include "Core/Common/log.h"
+#include "Core/Fleet/retry_after.h"
 #include "Core/Router/fleet_request.h"
 
 namespace primrosecove {
@@ -40,10 +40,8 @@
 
 CandidateSet FleetRequest::FindCandidates(MonotonicTime now) {
   CandidateSet out(state_->registry.Accepting(service_->name, now));
-  out.Exclude(ExclusionReason::kRegion, [this](const FleetUpstream& it) {
-    return !allowed_regions_.Allows(
-        RegionOfZone(state_->settings, it.record.zone));
-  });
+  ExcludeByRegion(allowed_regions_, &out);
+  if (routes_ != state_->routes) ExcludeByRegion(CurrentRegions(), &out);
   out.Exclude(ExclusionReason::kEvacuation, [&](const FleetUpstream& it) {
     return state_->evacuations.IsEvacuated(it.record.zone, now);
   });
@@ -85,6 +83,22 @@
   return out;
 }
 
+void FleetRequest::ExcludeByRegion(const AllowedRegions& regions,
+                                   CandidateSet* candidates) const {
+  if (!regions.is_restricted()) return;
+  candidates->Exclude(ExclusionReason::kRegion, [&](const FleetUpstream& it) {
+    return !regions.Allows(RegionOfZone(state_->settings, it.record.zone));
+  });
+}
+
+AllowedRegions FleetRequest::CurrentRegions() const {
+  const HttpRequest& request = exchange_->request();
+  const RouteTable& routes = *state_->routes;
+  return {
+      routes.Match(request.headers.Find("Host").value_or(""), request.Path()),
+      fields_.key ? routes.FindKey(*fields_.key) : nullptr};
+}
+
 void FleetRequest::ExcludeByWeights(CandidateSet* candidates,
                                     MonotonicTime now) const {
   uint64_t minimum_version =
@@ -112,7 +126,16 @@
       EstimateServiceTime(request.mean_service_time);
   request.waited = caller_wait_ + (now - arrived_at_);
   request.response_started = event_count_ > 0;
+  std::vector<PriorityClass> priorities;
+  if (PriorityDemand* demand = FindDemand()) {
+    priorities = demand->Classes(now);
+    request.priorities = priorities;
+    request.priority = priority_;
+    request.workspace_factor =
+        demand->WorkspaceFactor(priority_, workspace_, now);
+  }
   Placement out = state_->policy->Choose(candidates.upstreams(), request, now);
+  out.candidates = candidates.upstreams().size();
   if (!candidates.empty()) {
     out.refusal_reason = "all upstreams at capacity";
     return out;
@@ -120,12 +143,34 @@
   out.refusal_reason = RefusalReason(candidates.LastReason());
   out.retry_after = candidates.time_to_request().value_or(
       TimeToOtherCandidates(candidates.LastReason()));
-  PC_INFO(kRouter, "event=no_candidate id=" << fields_.request_id
-                                            << " excluded=\""
-                                            << candidates.Summary() << "\"");
+  out.excluded = candidates.Summary();
   return out;
 }
 
+PriorityDemand* FleetRequest::FindDemand() const {
+  PriorityDemand* out = state_->PriorityDemandFor(service_->name);
+  // A request may outlive the configuration that knows its priority.
+  return out != nullptr && out->Knows(priority_) ? out : nullptr;
+}
+
+std::optional<int> FleetRequest::UpstreamPriority() const {
+  if (FindDemand() == nullptr) return std::nullopt;
+  // Callers that are late in any case rank behind those in time.
+  Milliseconds waited = caller_wait_ + (state_->Now() - arrived_at_);
+  Milliseconds target = route_->latency_target;
+  if (event_count_ == 0 && target.count() > 0 && waited > target)
+    return UpstreamFields::kMaxPriority;
+  return std::clamp(priority_, 0, UpstreamFields::kMaxPriority - 1);
+}
+
+Milliseconds FleetRequest::RetryAfterFor(Milliseconds soonest) {
+  double random_value = state_->RandomFraction();
+  PriorityDemand* demand = FindDemand();
+  if (demand == nullptr) return ComputeRetryAfter(soonest, random_value);
+  return ComputeRetryAfter(soonest, random_value, demand->RankOf(priority_),
+                           demand->size());
+}
+
 // No slot that becomes free helps a request whose upstreams are all in other
 // regions or evacuated zones, only a change of the deployment.
 Milliseconds FleetRequest::TimeToOtherCandidates(
