Order requests of workspaces with equal priority by their routes

A workspace's priority replaced that of the route. The workspace's priority still goes first; requests that are equal in it are ordered by their routes. Upstreams get the rank among a service's priorities.

--- a/Source/Core/Fleet/route_table.cc
+++ b/Source/Core/Fleet/route_table.cc
@@ -1,6 +1,8 @@
 #include "Core/Fleet/route_table.h"
 
 #include <algorithm>
+#include <optional>
+#include <set>
 #include <utility>
 
 #include "Core/Common/text.h"
@@ -54,6 +56,16 @@
   return it == config_.services.end() ? nullptr : &it->second;
 }
 
+int RouteTable::CombinedPriority(const Route& route,
+                                 const FleetWorkspace* workspace) {
+  constexpr int kMaxPriority = 99;
+  int own = std::clamp(route.priority, 0, kMaxPriority);
+  bool has_priority = workspace != nullptr && workspace->priority;
+  int first =
+      has_priority ? std::clamp(*workspace->priority, 0, kMaxPriority) : own;
+  return first * (kMaxPriority + 1) + own;
+}
+
 std::map<int, Milliseconds> RouteTable::PrioritiesOf(
     const std::string& service) const {
   std::map<int, Milliseconds> out;
@@ -63,14 +75,20 @@
         target.count() > 0 && (it->second.count() == 0 || target < it->second);
     if (is_shorter) it->second = target;
   };
+  std::set<std::optional<int>> own_priorities;
+  for (const FleetWorkspace& it : config_.workspaces)
+    own_priorities.insert(it.priority);
   for (const Route& route : config_.routes) {
     bool leads_there = std::any_of(
         route.services.begin(), route.services.end(),
         [&](const ServiceShare& it) { return it.service == service; });
     if (!leads_there) continue;
-    add(route.priority, route.latency_target);
-    for (const FleetWorkspace& it : config_.workspaces) {
-      if (it.priority) add(*it.priority, route.latency_target);
+    if (!needs_keys() || route.is_public)
+      add(CombinedPriority(route, nullptr), route.latency_target);
+    for (const auto& it : own_priorities) {
+      FleetWorkspace workspace;
+      workspace.priority = it;
+      add(CombinedPriority(route, &workspace), route.latency_target);
     }
   }
   return out;
--- a/Source/Core/Fleet/route_table.h
+++ b/Source/Core/Fleet/route_table.h
@@ -29,8 +29,13 @@
   /// Whether requests need a key.
   bool needs_keys() const { return !config_.workspaces.empty(); }
   const FleetService* FindService(const std::string& name) const;
-  /// Returns the priorities of a service's requests with the shortest latency
-  /// target of each; at least one for a service with a route.
+  /// Returns the priority of a request among those of its service, 0 first: the
+  /// workspace's own priority goes before the route's, and requests that are
+  /// equal in it are ordered by their routes. `workspace` may be null.
+  static int CombinedPriority(const Route& route,
+                              const FleetWorkspace* workspace);
+  /// Returns the combined priorities of a service's requests with the shortest
+  /// latency target of each; at least one for a service with a route.
   std::map<int, Milliseconds> PrioritiesOf(const std::string& service) const;
   const FleetConfig& config() const { return config_; }
 
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -117,9 +117,7 @@
   const FleetWorkspace* workspace =
       fields_.key ? routes_->FindKey(*fields_.key) : nullptr;
   allowed_regions_ = AllowedRegions(route_, workspace);
-  priority_ = route_->priority;
-  if (workspace != nullptr && workspace->priority)
-    priority_ = *workspace->priority;
+  priority_ = RouteTable::CombinedPriority(*route_, workspace);
   if (!routes_->needs_keys() || (route_->is_public && !fields_.key)) {
     return true;
   }
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -174,7 +174,7 @@
   CallerFields fields_;
   std::string workspace_;
   AllowedRegions allowed_regions_;
-  int priority_ = 0;  // 0 is served first.
+  int priority_ = 0;  // See RouteTable::CombinedPriority().
   MonotonicTime arrived_at_{0};
   Milliseconds caller_wait_{0};  // In earlier attempts of the same caller.
   MonotonicTime deadline_{0};    // When the complete response is due.
--- a/Source/Core/Router/fleet_request_placement.cc
+++ b/Source/Core/Router/fleet_request_placement.cc
@@ -154,13 +154,15 @@
 }
 
 std::optional<int> FleetRequest::UpstreamPriority() const {
-  if (FindDemand() == nullptr) return std::nullopt;
+  PriorityDemand* demand = FindDemand();
+  if (demand == nullptr) return std::nullopt;
   // Callers that are late in any case rank behind those in time.
   Milliseconds waited = caller_wait_ + (state_->Now() - arrived_at_);
   Milliseconds target = route_->latency_target;
   if (event_count_ == 0 && target.count() > 0 && waited > target)
     return UpstreamFields::kMaxPriority;
-  return std::clamp(priority_, 0, UpstreamFields::kMaxPriority - 1);
+  return std::min(static_cast<int>(demand->RankOf(priority_)),
+                  UpstreamFields::kMaxPriority - 1);
 }
 
 Milliseconds FleetRequest::RetryAfterFor(Milliseconds soonest) {
