--- a/Source/UnitTests/Router/restricted_placement_test.cc
+++ b/Source/UnitTests/Router/restricted_placement_test.cc
@@ -55,6 +55,72 @@
   }
 }
 
+// A retry, or a stream that goes on at another upstream, must not leave the
+// allowed regions either.
+TEST_CASE("retries and resumed streams stay in the allowed regions",
+          "[fleet][regions]") {
+  RouterFixture fixture(127);
+  auto config = RouterFixture::MakeConfigJson(2);
+  for (auto& it : config["routes"]) it["allowed_regions"] = {"r1"};
+  fixture.store.Put("op/config", config.dump());
+  // Other regions, or none known, are not allowed.
+  for (const char* service : {"llm", "desk"}) {
+    bool is_engine = std::string(service) == "llm";
+    EngineStandIn::Options options;
+    options.id = std::string("far-") + service;
+    options.service = service;
+    options.zone = "z2";
+    options.endpoint = fixture.EndpointAt(is_engine ? 6 : 7);
+    options.model = is_engine ? "m" : "";
+    options.version = is_engine ? 1 : 0;
+    auto engine =
+        std::make_unique<EngineStandIn>(&fixture.loop, &fixture.store, options);
+    REQUIRE(engine->Start());
+    fixture.engines[options.id] = std::move(engine);
+  }
+  RunUntil(&fixture.loop, [&] {
+    return fixture.router->config_version() == 2 &&
+           fixture.router->registry().all().size() == 6;
+  });
+  for (int i = 0; i < 6; ++i) {
+    for (auto& [id, it] : fixture.engines)
+      it->SetFault(EngineFault::kTruncateEvent, 1);
+    fixture.SendAndWait("/stream/1");
+    for (auto& [id, it] : fixture.engines) it->SetFault(EngineFault::kReset, 1);
+    fixture.SendAndWait("/safe/1");
+  }
+  CHECK(fixture.engines["far-llm"]->runs().empty());
+  CHECK(fixture.engines["far-desk"]->runs().empty());
+  CHECK(fixture.ExecutionCount() > 0);
+}
+
+// Guards against a router that ignores the rate while nothing tells it how many
+// others there are.
+TEST_CASE("a router keeps to its share of a cold upstream's rate",
+          "[fleet][cold-start]") {
+  RouterFixture fixture(128);
+  auto config = RouterFixture::MakeConfigJson(2);
+  config["services"][1]["cold_start_s"] = 60;
+  config["services"][1]["cold_per_s"] = 1;
+  fixture.store.Put("op/config", config.dump());
+  RunUntil(&fixture.loop,
+           [&] { return fixture.router->config_version() == 2; });
+  size_t runs = fixture.ExecutionCount();
+  constexpr int kRequests = 10;
+  int refused = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    CallResult result = fixture.SendAndWait("/once/1");
+    if (result.head->status != 503) continue;
+    ++refused;
+    CHECK(result.head->headers.Find("Retry-After").has_value());
+  }
+  // Two upstreams, and at most one request of this router at each.
+  CHECK(refused >= kRequests - 2);
+  CHECK(fixture.ExecutionCount() - runs == size_t(kRequests - refused));
+  // Another service has no such rate.
+  CHECK(StatusOf(&fixture, "/stream/1") == 200);
+}
+
 TEST_CASE("an evacuated zone gets no request until its evacuation ends",
           "[fleet][evacuation]") {
   enum class End { kRemoved, kRemovedUnseen };
