--- a/Source/Core/Fleet/caller_wait_estimator.cc
+++ b/Source/Core/Fleet/caller_wait_estimator.cc
@@ -14,6 +14,9 @@
 constexpr Milliseconds kStep{50};
 // With fewer requests, a gap between stated waits may be random.
 constexpr int kMinRequests = 100;
+// Part of the longest wait by which full waits are assumed to differ until
+// then. To refuse a first attempt is worse than to serve one that is late.
+constexpr int kUnknownSpreadPart = 5;
 // The spread is computed again after this many requests.
 constexpr int kRequestsPerUpdate = 16;
 // The full waits end where the next requests are this much rarer. Refused
@@ -30,7 +33,7 @@
 
 Milliseconds CallerWaitEstimator::ComputeSpread(const RouteWaits& waits) {
   if (waits.current.requests + waits.previous.requests < kMinRequests)
-    return kJitterTolerance;
+    return waits.Longest() / kUnknownSpreadPart;
   int64_t top = waits.Longest() / kStep;
   auto count = [&](int64_t from, int64_t steps) {
     int out = 0;
@@ -83,12 +86,15 @@
       current.requests - waits.requests_at_spread >= kRequestsPerUpdate;
   if (is_due) {
     waits.spread = ComputeSpread(waits);
+    waits.is_known = current.requests + waits.previous.requests >= kMinRequests;
     waits.requests_at_spread = current.requests;
   }
   Milliseconds out = waits.Longest() - *remaining_wait;
   if (out <= waits.spread) return Milliseconds(0);
   // Its own full wait is not known; on average it is in the middle.
-  return waits.spread > kJitterTolerance ? out - waits.spread / 2 : out;
+  return waits.is_known && waits.spread > kJitterTolerance
+             ? out - waits.spread / 2
+             : out;
 }
 
 Milliseconds CallerWaitEstimator::SpreadOf(const std::string& route) const {
--- a/Source/Core/Fleet/caller_wait_estimator.h
+++ b/Source/Core/Fleet/caller_wait_estimator.h
@@ -39,6 +39,7 @@
     StatedWaits previous;  // Of the window before.
     Milliseconds window_start{0};
     Milliseconds spread{0};
+    bool is_known = false;       // Measured, not assumed.
     int requests_at_spread = 0;  // When `spread` was computed.
 
     Milliseconds Longest() const;
--- a/Source/UnitTests/Fleet/caller_wait_estimator_test.cc
+++ b/Source/UnitTests/Fleet/caller_wait_estimator_test.cc
@@ -96,5 +96,16 @@
   }
 }
 
+// A router that has just started sees few requests of each route.
+TEST_CASE("first attempts are in time before the spread is measured") {
+  std::minstd_rand random(1);
+  std::uniform_int_distribution<int64_t> wait(5100, 6000);
+  CallerWaitEstimator estimator;
+  for (int i = 0; i < 99; ++i) {
+    CHECK(estimator.RecordAndEstimate("drafts", Milliseconds(wait(random)),
+                                      Milliseconds(i * 15)) == Milliseconds(0));
+  }
+}
+
 }  // namespace
 }  // namespace primrosecove
