Finish an older copy of weights where that spreads the reloads

A newer version 4 s after another dropped its copy, which had 46 or 47 of 48 chunks, and no engine took the first version whole. All engines then reloaded together between the copy of the second one and the bound of the first.

An incomplete copy is finished if the shorter of the two times for reloads is then more than twice the time that dropping it leaves; the newer copy comes from the origin meanwhile. Reload slots end where routers stop using the served version, also by the bound of a version in between. Uploads use 0.9 of a link.

--- a/Source/Core/Agent/weight_stager.cc
+++ b/Source/Core/Agent/weight_stager.cc
@@ -17,6 +17,8 @@
 // An update from an older position of the store is accepted after this time
 // without a newer one, because a router that is behind is better than none.
 constexpr Milliseconds kUpdateLifetime{5000};
+// An older copy that is finished first may have lost its sources.
+constexpr Milliseconds kMaxOlderCopyDelay{2500};
 // Complete copies that are kept for new members and for peers that still fetch
 // the older version.
 constexpr size_t kMaxKeptCopies = 2;
@@ -86,6 +88,7 @@
 void WeightStager::AddTarget(uint64_t version, Milliseconds age) {
   if (!versions_.empty() && versions_.rbegin()->first >= version) return;
   versions_[version].targeted_at = EventLoop::Now() - age;
+  target_times_[version] = EventLoop::Now() - age;
   Advance();
 }
 
@@ -97,6 +100,7 @@
   WeightTransfer::Events events;
   events.on_chunk = [this, version](uint32_t n) { OnChunk(version, n); };
   events.on_complete = [this, version] { OnCopyComplete(version); };
+  target->started_at = EventLoop::Now();
   target->transfer = std::make_unique<WeightTransfer>(
       context_, update_->model, version, std::exchange(read_engine_, false),
       std::move(events));
@@ -105,6 +109,7 @@
 
 void WeightStager::Advance() {
   StartNewestTransfer();
+  ResumeNewestTransfer();
   DropUnneededCopies();
   ChooseStaging();
 }
@@ -116,6 +121,14 @@
     if (older.transfer == nullptr || older.transfer->copy().complete()) {
       continue;
     }
+    if (ShouldFinish(older)) {
+      PC_INFO(kWeights, "event=copy_finished_first version="
+                            << version << " newer=" << newest
+                            << " held=" << older.transfer->copy().held_count()
+                            << " named_age_ms=" << TargetAge(older).count());
+      older_copy_until_ = EventLoop::Now() + kMaxOlderCopyDelay;
+      continue;
+    }
     PC_INFO(kWeights, "event=copy_dropped version="
                           << version << " newer=" << newest
                           << " held=" << older.transfer->copy().held_count()
@@ -126,6 +139,34 @@
     older.transfer.reset();
   }
   StartTransfer(newest, &target);
+  if (older_copy_until_) target.transfer->SetUsesPeers(false);
+}
+
+bool WeightStager::ShouldFinish(const VersionState& older) const {
+  const WeightCopy& copy = older.transfer->copy();
+  if (copy.size() == 0) return false;
+  IncompleteCopy state;
+  state.held_share =
+      static_cast<double>(copy.held_count()) / static_cast<double>(copy.size());
+  state.elapsed = std::chrono::duration_cast<Milliseconds>(EventLoop::Now() -
+                                                           older.started_at);
+  state.target_age = TargetAge(older);
+  state.newer_age = TargetAge(versions_.rbegin()->second);
+  state.version_bound = Milliseconds(update_->version_bound_ms);
+  return ShouldFinishCopy(state);
+}
+
+void WeightStager::ResumeNewestTransfer() {
+  if (!older_copy_until_ || versions_.empty()) return;
+  auto& [newest, target] = *versions_.rbegin();
+  bool waits = std::any_of(
+      versions_.begin(), versions_.end(), [newest = newest](const auto& it) {
+        return it.first < newest && it.second.transfer != nullptr &&
+               !it.second.transfer->copy().complete();
+      });
+  if (waits && EventLoop::Now() < *older_copy_until_) return;
+  older_copy_until_.reset();
+  if (target.transfer != nullptr) target.transfer->SetUsesPeers(true);
 }
 
 void WeightStager::DropUnneededCopies() {
@@ -197,6 +238,7 @@
                         << " named_age_ms=" << target.completion_age->count()
                         << " origin_bytes=" << transfer_counters_.origin_bytes
                         << " peer_bytes=" << transfer_counters_.peer_bytes);
+  ResumeNewestTransfer();
 }
 
 void WeightStager::OnEngineStatus(const EngineStatus& status) {
@@ -208,6 +250,8 @@
     if (it.model == update_->model && it.fully_loaded)
       served_version_ = it.version;
   }
+  std::erase_if(target_times_,
+                [this](const auto& it) { return it.first <= served_version_; });
   Advance();
   if (staging_ == nullptr) {
     staged_version_ = served_version_;
@@ -234,6 +278,13 @@
   out.copy_complete_age =
       target.completion_age.value_or(std::max(typical, out.target_age));
   out.version_bound = Milliseconds(update_->version_bound_ms);
+  // The first version after the one that the engine serves ends its use.
+  auto next = target_times_.upper_bound(served_version_);
+  if (next != target_times_.end() && next->first < copy.version()) {
+    out.served_until_age =
+        out.version_bound + std::chrono::duration_cast<Milliseconds>(
+                                next->second - target.targeted_at);
+  }
   out.reload_slot = ReloadSlot(*update_, own_id_);
   return out;
 }
--- a/Source/Core/Agent/weight_stager.h
+++ b/Source/Core/Agent/weight_stager.h
@@ -61,6 +61,7 @@
   // A version that was the target at some time since the process started.
   struct VersionState {
     SteadyTime targeted_at;
+    SteadyTime started_at;                       // Of its transfer.
     std::optional<Milliseconds> completion_age;  // Since it became the target.
     // Null if not started or dropped.
     std::unique_ptr<WeightTransfer> transfer;
@@ -71,6 +72,10 @@
   void StartTransfer(uint64_t version, VersionState* target);
   void Advance();
   void StartNewestTransfer();
+  // Whether a copy is finished although the newest version is another one.
+  bool ShouldFinish(const VersionState& older) const;
+  // Lets the newest transfer use peers once no older copy goes before it.
+  void ResumeNewestTransfer();
   void DropUnneededCopies();
   void ChooseStaging();
   // Version that the engine serves or is loading.
@@ -94,6 +99,11 @@
   std::optional<DeploymentUpdate> update_;
   SteadyTime update_received_at_;
   std::map<uint64_t, VersionState> versions_;  ///< By version.
+  /// When each version became the target; of those that the engine may still
+  /// have to pass.
+  std::map<uint64_t, SteadyTime> target_times_;
+  /// Until then an older copy goes before the newest one.
+  std::optional<SteadyTime> older_copy_until_;
   std::unique_ptr<ChunkStaging> staging_;
   EngineStatus engine_status_;
   bool status_received_ = false;
--- a/Source/Core/Agent/weight_transfer.cc
+++ b/Source/Core/Agent/weight_transfer.cc
@@ -85,6 +85,11 @@
   feeds_.clear();
 }
 
+void WeightTransfer::SetUsesPeers(bool uses_peers) {
+  uses_peers_ = uses_peers;
+  if (uses_peers) FetchNext();
+}
+
 ChunkPlanInput WeightTransfer::MakePlanInput() {
   SteadyTime now = EventLoop::Now();
   std::erase_if(avoided_until_, [now](auto& it) { return it.second <= now; });
@@ -332,7 +337,7 @@
 
 void WeightTransfer::FetchNext() {
   SteadyTime now = EventLoop::Now();
-  if (!context_.pacer->MayStart(now)) return;
+  if (!uses_peers_ || !context_.pacer->MayStart(now)) return;
   std::vector<std::pair<uint32_t, std::string>> fetchable;
   for (auto& [n, sources] : plan_) {
     if (copy_.Has(n) || fetches_.contains(n)) continue;
--- a/Source/Core/Agent/weight_transfer.h
+++ b/Source/Core/Agent/weight_transfer.h
@@ -55,6 +55,9 @@
   void Start();
   /// Plans the missing chunks again; call it several times a second.
   void Refresh();
+  /// Sets whether chunks are fetched from peers, as they are at first. Without,
+  /// only those that this agent fetches from the origin arrive.
+  void SetUsesPeers(bool uses_peers);
   const WeightCopy& copy() const { return copy_; }
 
  private:
@@ -92,6 +95,7 @@
   TransferContext context_;
   WeightCopy copy_;
   bool read_engine_;
+  bool uses_peers_ = true;
   Events events_;
   platform::OriginClient origin_;
   platform::LocalEngineClient engine_;
--- a/Source/Core/Fleet/reload_schedule.cc
+++ b/Source/Core/Fleet/reload_schedule.cc
@@ -5,8 +5,6 @@
 #include "Core/Common/digest.h"
 
 namespace primrosecove {
-namespace {}  // namespace
-
 bool ShouldReload(const ReloadState& state) {
   if (state.target_version == 0 || !state.copy_complete) return false;
   if (state.loading) return false;
@@ -18,13 +16,37 @@
 Milliseconds PlannedReloadAge(const ReloadState& state) {
   // Engines whose slot is after the time when routers stop using older weights
   // soon become idle and load then.
+  Milliseconds bound =
+      std::min(state.version_bound,
+               state.served_until_age.value_or(state.version_bound));
   Milliseconds slack =
-      std::max(state.version_bound - state.copy_complete_age, Milliseconds(0));
+      std::max(bound - state.copy_complete_age, Milliseconds(0));
   auto wait =
       std::chrono::duration_cast<Milliseconds>(slack * state.reload_slot);
   return state.copy_complete_age + wait;
 }
 
+std::optional<Milliseconds> TimeToFinish(const IncompleteCopy& copy) {
+  if (copy.held_share <= 0) return std::nullopt;
+  double missing = std::max(1 - copy.held_share, 0.0) / copy.held_share;
+  return Milliseconds(static_cast<int64_t>(
+      missing * static_cast<double>(copy.elapsed.count())));
+}
+
+bool ShouldFinishCopy(const IncompleteCopy& copy) {
+  auto rest = TimeToFinish(copy);
+  if (!rest) return false;
+  Milliseconds whole = copy.elapsed + *rest;
+  Milliseconds older_left = copy.version_bound - copy.target_age;
+  Milliseconds newer_left = copy.version_bound - copy.newer_age;
+  Milliseconds if_dropped = std::max(older_left - whole, Milliseconds(0));
+  // Meanwhile the origin sends the newer copy, which takes half of its time.
+  Milliseconds newer_whole = std::max(*rest, whole / 2) + whole / 2;
+  Milliseconds if_finished =
+      std::min(older_left - *rest, newer_left - newer_whole);
+  return if_finished > 2 * if_dropped;
+}
+
 Milliseconds TypicalCopyTime(double copy_bytes, double link_bytes_per_second) {
   // Chunk transfers use about this share of the links, and forwarding the last
   // chunks to all members takes about this long.
--- a/Source/Core/Fleet/reload_schedule.h
+++ b/Source/Core/Fleet/reload_schedule.h
@@ -1,6 +1,7 @@
 // Decides when an agent orders its engine to load new weights.
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "Core/Fleet/deployment.h"
@@ -18,9 +19,32 @@
   Milliseconds target_age{0};     ///< Since the target version was set.
   Milliseconds version_bound{0};  ///< Age by which all engines must serve it.
   Milliseconds copy_complete_age{0};  ///< Age when the copy was complete.
+  /// Age from which on routers send no requests to the version that the engine
+  /// serves, because of a version between that one and the target.
+  std::optional<Milliseconds> served_until_age;
   double reload_slot = 0;  ///< Position in the reload schedule, 0 to 1.
 };
 
+/// An incomplete copy at the moment when a newer version is set.
+struct IncompleteCopy {
+  double held_share = 0;          ///< Of its chunks, 0 to 1.
+  Milliseconds elapsed{0};        ///< Since its transfer started.
+  Milliseconds target_age{0};     ///< Since its version was set.
+  Milliseconds newer_age{0};      ///< Since the newer version was set.
+  Milliseconds version_bound{0};  ///< Age by which all engines must serve it.
+};
+
+/// Returns the time that the rest of a copy is expected to take at the rate so
+/// far, or nothing if it holds nothing yet. Thread safe.
+std::optional<Milliseconds> TimeToFinish(const IncompleteCopy& copy);
+
+/// Whether to finish a copy although a newer version is set. If it is dropped,
+/// all engines reload between the completion of the newer copy and the bound of
+/// the older version. If it is finished, they reload twice, each time with more
+/// time. It is finished if the shorter of these times is more than twice the
+/// time that dropping leaves. Thread safe.
+bool ShouldFinishCopy(const IncompleteCopy& copy);
+
 /// Returns the age of the target version at which its engine is to be ordered
 /// to load it. Thread safe.
 Milliseconds PlannedReloadAge(const ReloadState& state);
--- a/Source/Core/Fleet/transfer_pacing.cc
+++ b/Source/Core/Fleet/transfer_pacing.cc
@@ -16,7 +16,7 @@
 // this long.
 constexpr Milliseconds kMaxPause{400};
 // Share of a link's rate; the rest is for the engine's responses.
-constexpr double kUploadShare = 0.8;
+constexpr double kUploadShare = 0.9;
 // An idle link sends as many bytes at once as it carries in this time.
 constexpr double kUploadBurstSeconds = 0.05;
 
--- a/Source/UnitTests/Fleet/decisions_test.cc
+++ b/Source/UnitTests/Fleet/decisions_test.cc
@@ -345,6 +345,70 @@
   }
 }
 
+// Two versions are set within the time of a copy. Engines that still serve the
+// one before both would otherwise be cut off together at the first one's bound.
+TEST_CASE(
+    "reloads are spread over the time in which the served version counts") {
+  struct Row {
+    const char* name;
+    std::optional<int64_t> served_until_ms;
+    double slot;
+    int64_t planned_ms;
+  };
+  // The copy was complete at 3000, the bound of its version is 9000.
+  const Row rows[] = {
+      {"first slot", std::nullopt, 0, 3000},
+      {"last slot", std::nullopt, 1, 9000},
+      {"last slot, an earlier version is due before", 5000, 1, 5000},
+      {"middle slot, an earlier version is due before", 5000, 0.5, 4000},
+      {"an earlier version was due before the copy", 2000, 1, 3000},
+      {"an earlier version is due later", 20'000, 1, 9000},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    ReloadState it;
+    it.version_bound = Milliseconds(9000);
+    it.copy_complete_age = Milliseconds(3000);
+    it.reload_slot = row.slot;
+    if (row.served_until_ms)
+      it.served_until_age = Milliseconds(*row.served_until_ms);
+    CHECK(PlannedReloadAge(it) == Milliseconds(row.planned_ms));
+  }
+}
+
+// A newer version is set while most of an older one has arrived. Dropping the
+// older copy leaves no time to spread the reloads.
+TEST_CASE("an older copy is finished if that spreads the reloads") {
+  struct Row {
+    const char* name;
+    double held_share;
+    int64_t elapsed_ms;
+    int64_t older_age_ms;
+    int64_t bound_ms;
+    bool finish;
+  };
+  const Row rows[] = {
+      {"nothing held", 0, 4000, 4000, 9700, false},
+      {"most is held, the newer one would come too late", 0.8, 4000, 4000, 9700,
+       true},
+      {"little is held", 0.2, 4000, 4000, 9700, false},
+      {"the newer one arrives in time", 0.5, 1000, 1000, 9700, false},
+      {"there is no time for either", 0.8, 4000, 9000, 9700, false},
+      {"almost complete", 0.95, 3500, 4000, 8000, true},
+      {"a long bound", 0.8, 4000, 4000, 40'000, false},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    IncompleteCopy copy;
+    copy.held_share = row.held_share;
+    copy.elapsed = Milliseconds(row.elapsed_ms);
+    copy.target_age = Milliseconds(row.older_age_ms);
+    copy.newer_age = Milliseconds(100);
+    copy.version_bound = Milliseconds(row.bound_ms);
+    CHECK(ShouldFinishCopy(copy) == row.finish);
+  }
+}
+
 TEST_CASE("the typical copy time follows from size and link rate") {
   // 2.4 MB at three quarters of 0.9 MB/s, plus forwarding of the last chunks.
   CHECK(TypicalCopyTime(2'400'000, 900'000) == Milliseconds(4155));
