Read the slowdown that an upstream states with its load

A Server-Load header of four figures was dropped whole, so that a router knew neither the load nor the slowdown of a host that states both. Such a header is now used as far as it is known; one with too few figures, or one that is not a number, is counted, and logged once for each upstream. The load of a response with 421 is that of another server and is not used.

FleetUpstream::Slowdown() combines the statement, whose weight ends after 600 ms, with the agent's status. The expected wait and the own time of a request use it, so that a slow host is expected to free its slots later.

Measured: table tests of the header, the weight by age and the choice pass (unit_tests "a load header is*", "a stated slowdown*", "a slow host is*", "*load*").

--- a/Source/Core/Fleet/admission.cc
+++ b/Source/Core/Fleet/admission.cc
@@ -15,19 +15,21 @@
 // Returns the time until the request would get a slot if `ahead_share` of the
 // waiting requests are served before it and `more_urgent_share` of the slots
 // that become free go to later requests. A slot becomes free every
-// mean_service_time / slots on average.
+// mean_service_time / slots on average, and less often on a slow host.
 double WaitMs(const FleetUpstream& upstream, const PlacementRequest& request,
               double ahead_share, double more_urgent_share, MonotonicTime now) {
   int slots = std::max(upstream.record.slots, 1);
   int waiting = upstream.ExpectedLoad(now) - slots;
   if (waiting < 0) return 0;
   double slot_interval =
-      static_cast<double>(request.mean_service_time.count()) / slots;
+      static_cast<double>(request.mean_service_time.count()) / slots *
+      upstream.Slowdown(now);
   return (waiting * ahead_share + 1) * slot_interval / (1 - more_urgent_share);
 }
 
 // Returns the time from getting a slot to the response or its first event.
-double OwnMs(const FleetUpstream& upstream, const PlacementRequest& request) {
+double OwnMs(const FleetUpstream& upstream, const PlacementRequest& request,
+             MonotonicTime now) {
   auto out = static_cast<double>(request.mean_service_time.count());
   if (request.service->engine) {
     const EngineProfile& engine = *request.service->engine;
@@ -36,9 +38,7 @@
     out = PrefillMs(engine, request.prompt_tokens) +
           2 * engine.step_ms * engine.steps_per_iteration;
   }
-  double slowdown =
-      upstream.status ? upstream.status->slowdown_percent / 100.0 : 1.0;
-  return out * std::max(slowdown, 1.0);
+  return out * upstream.Slowdown(now);
 }
 
 }  // namespace
@@ -59,7 +59,7 @@
     return upstream.ExpectedLoad(now) < slots - reserved;
   }
   if (wait_ms <= 0) return true;
-  double own_ms = OwnMs(upstream, request);
+  double own_ms = OwnMs(upstream, request, now);
   auto target_ms = static_cast<double>(request.route->latency_target.count());
   double total = static_cast<double>(request.waited.count()) +
                  wait_ms * request.workspace_factor + own_ms;
--- a/Source/Core/Fleet/request_fields.h
+++ b/Source/Core/Fleet/request_fields.h
@@ -64,6 +64,8 @@
   bool is_signed = false;     ///< The upstream vouches for the response.
   bool is_success = false;    ///< The upstream ran it with success (2xx).
   std::optional<UpstreamLoad> load;
+  /// A load is present, but has too few figures or one that is not a number.
+  bool has_malformed_load = false;
   std::optional<uint64_t> weights_version;
   /// Requests per second that the upstream takes from all routers together.
   std::optional<double> rate_limit;
--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -14,6 +14,9 @@
 // Each other router is assumed to have sent this share of the requests that
 // this router has sent since the last reported load.
 constexpr double kOtherRouterShare = 0.5;
+// The hosts that are slow change this often. A statement of age t is from the
+// present period with probability 1 - t / kSlowdownPeriod.
+constexpr Milliseconds kSlowdownPeriod{600};
 // Consecutive failures after which an upstream is ejected for a while, except
 // for probes. A single failure may be caused by the request.
 constexpr int kFailuresToEject = 3;
@@ -60,6 +63,19 @@
          static_cast<int>(others);
 }
 
+double FleetUpstream::Slowdown(MonotonicTime now) const {
+  constexpr double kUsualPercent = 100;
+  double percent = kUsualPercent;
+  if (status && now - status_received_at < UpstreamRegistry::kStatusLifetime) {
+    percent = status->slowdown_percent;
+  }
+  double age = static_cast<double>((now - slowdown_stated_at).count());
+  double weight =
+      std::max(1 - age / static_cast<double>(kSlowdownPeriod.count()), 0.0);
+  percent += weight * (stated_slowdown_percent - percent);
+  return std::max(percent / kUsualPercent, 1.0);
+}
+
 int64_t FleetUpstream::StartTimeMs() const {
   // The agent's status shows a restart sooner than the registration.
   return std::max(record.start_time_ms, status ? status->start_time_ms : 0);
@@ -241,6 +257,10 @@
                                           MonotonicTime now) {
   FleetUpstream* upstream = Find(id);
   if (upstream == nullptr) return;
+  if (load.slowdown_percent) {
+    upstream->stated_slowdown_percent = *load.slowdown_percent;
+    upstream->slowdown_stated_at = now;
+  }
   // An agent's status arrives more often and is not delayed by its engine.
   if (upstream->status &&
       now - upstream->status_received_at < kStatusLifetime) {
@@ -251,6 +271,16 @@
   upstream->load_reported_at = now;
 }
 
+void UpstreamRegistry::RecordMalformedLoad(const std::string& id) {
+  ++malformed_loads_;
+  FleetUpstream* upstream = Find(id);
+  if (upstream == nullptr ||
+      std::exchange(upstream->has_logged_malformed_load, true)) {
+    return;
+  }
+  PC_WARN(kMembership, "event=upstream_load_malformed id=" << id);
+}
+
 void UpstreamRegistry::RecordColdStart(const std::string& id,
                                        Milliseconds remaining,
                                        MonotonicTime now) {
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -39,6 +39,11 @@
   int local_in_flight_at_report = 0;
   int reported_load = 0;  ///< Running and waiting, of all routers.
   MonotonicTime load_reported_at{-1'000'000};
+  /// Time that work takes on its host, 100 as usual, by its last response that
+  /// states it.
+  int stated_slowdown_percent = 100;
+  MonotonicTime slowdown_stated_at{-1'000'000};
+  bool has_logged_malformed_load = false;
   int router_count = 1;  ///< Routers that use it, by its agent's last status.
   // Failures since the last success, and the end of the ejection they caused.
   int consecutive_failures = 0;
@@ -64,6 +69,9 @@
   /// Estimates the number of requests at it: the last reported load, corrected
   /// by the requests of this router that started and ended since.
   int ExpectedLoad(MonotonicTime now) const;
+  /// Returns how many times as long as usual work takes on its host at this
+  /// moment, at least 1.
+  double Slowdown(MonotonicTime now) const;
   /// Returns whether at least half of its slots are free, by its expected load.
   bool IsHalfIdle(MonotonicTime now) const {
     return 2 * ExpectedLoad(now) <= record.slots;
@@ -118,6 +126,8 @@
   void RecordStatus(const UpstreamStatus& status, MonotonicTime now);
   void RecordResponseLoad(const std::string& id, const UpstreamLoad& load,
                           MonotonicTime now);
+  /// Records that a response stated a load that can't be used.
+  void RecordMalformedLoad(const std::string& id);
   /// Records how much longer an upstream is cold, as stated in a response.
   void RecordColdStart(const std::string& id, Milliseconds remaining,
                        MonotonicTime now);
@@ -154,6 +164,8 @@
   double SilentShare(const std::string& service) const;
   /// Returns how often an upstream has fallen silent.
   uint64_t silences() const { return silences_; }
+  /// Returns the number of responses that stated an unusable load.
+  uint64_t malformed_loads() const { return malformed_loads_; }
 
   /// Returns the upstreams of a service that accept new requests at `now`, also
   /// those whose requests fail and those that are silent.
@@ -218,6 +230,7 @@
   std::optional<MonotonicTime> store_restored_at_;
   std::vector<UpstreamCrash> crashes_;
   uint64_t silences_ = 0;
+  uint64_t malformed_loads_ = 0;
 };
 
 }  // namespace primrosecove
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -296,6 +296,7 @@
     state_->registry.RecordColdStart(id, *response.cold_start_remaining, now);
   if (response.load)
     state_->registry.RecordResponseLoad(id, *response.load, now);
+  if (response.has_malformed_load) state_->registry.RecordMalformedLoad(id);
   bool is_success = IsSuccess(head.status) && response.is_signed;
   if (is_success) attempt->response_began_at = now;
   attempt->streaming = route_->kind == RequestKind::kStream && is_success;
--- a/Source/Core/Router/fleet_router_metrics.cc
+++ b/Source/Core/Router/fleet_router_metrics.cc
@@ -66,6 +66,12 @@
                       "Times that an upstream fell silent", {}, [this] {
                         return static_cast<double>(state_.registry.silences());
                       });
+  metrics_.AddCounter(
+      "primrosecove_router_malformed_loads_total",
+      "Responses of upstreams that state a load that can't be used", {},
+      [this] {
+        return static_cast<double>(state_.registry.malformed_loads());
+      });
   AddConnectionMetrics();
   metrics_.AddCounter(
       "primrosecove_router_store_restores_total",
--- a/Source/UnitTests/Fleet/placement_test.cc
+++ b/Source/UnitTests/Fleet/placement_test.cc
@@ -95,6 +95,33 @@
   }
 }
 
+// Some hosts take longer than usual at this moment, all with as many requests.
+TEST_CASE("a slow host is expected to free its slots later") {
+  struct Row {
+    const char* name;
+    int load;
+    std::optional<int> slow_percent;  // Of u0, stated at 0 ms.
+    const char* chosen;               // null: refused
+  };
+  const Row rows[] = {
+      {"equal hosts", 17, std::nullopt, "u0"},
+      {"a slow host", 17, 250, "u2"},
+      {"a faster host counts as usual", 17, 50, "u0"},
+  };
+  auto policy = MakePlacementPolicy("expected-wait");
+  for (const Row& row : rows) {
+    INFO(row.name);
+    Fixture fixture({row.load, 99, row.load, 99}, 1);
+    if (row.slow_percent) {
+      fixture.upstreams[0].stated_slowdown_percent = *row.slow_percent;
+      fixture.upstreams[0].slowdown_stated_at = MonotonicTime(0);
+    }
+    Placement placement = fixture.Choose(policy.get());
+    REQUIRE(placement.upstream != nullptr);
+    CHECK(placement.upstream->record.id == row.chosen);
+  }
+}
+
 // Refused callers retry while others send first attempts, and capacity does not
 // suffice for all.
 TEST_CASE("late requests leave reserved slots to requests within the target") {
--- a/Source/UnitTests/Fleet/upstream_registry_test.cc
+++ b/Source/UnitTests/Fleet/upstream_registry_test.cc
@@ -47,6 +47,48 @@
   }
 }
 
+// The slow hosts of a deployment change every 600 ms. Guards against a host
+// that counts as slow, or as fast, by a statement that is no longer true.
+TEST_CASE("a stated slowdown loses weight with its age") {
+  struct Row {
+    const char* name;
+    std::optional<uint32_t> status_percent;  // At 0 ms.
+    std::optional<int> stated_percent;       // At 1000 ms.
+    int64_t at_ms;
+    double slowdown;
+  };
+  const Row rows[] = {
+      {"nothing stated", {}, {}, 1000, 1},
+      {"just stated", {}, 250, 1000, 2.5},
+      {"stated half a period ago", {}, 250, 1300, 1.75},
+      {"stated a period ago", {}, 250, 1600, 1},
+      {"stated long ago", {}, 250, 9000, 1},
+      {"faster than usual", {}, 50, 1000, 1},
+      {"zero", {}, 0, 1000, 1},
+      {"by the agent's status", 200, {}, 1000, 2},
+      {"an old status", 200, {}, 1500, 1},
+      {"a new statement before the status", 200, 100, 1000, 1},
+      {"an older statement with the status", 200, 100, 1300, 1.5},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    UpstreamRegistry registry;
+    registry.Apply(Registered("a"), MonotonicTime(-9000), MonotonicTime(0));
+    if (row.status_percent) {
+      UpstreamStatus status;
+      status.upstream = {"10.0.0.1", 80};
+      status.slowdown_percent = *row.status_percent;
+      registry.RecordStatus(status, MonotonicTime(0));
+    }
+    if (row.stated_percent) {
+      registry.RecordResponseLoad("a", {1, 0, 4, row.stated_percent},
+                                  MonotonicTime(1000));
+    }
+    CHECK(registry.Find("a")->Slowdown(MonotonicTime(row.at_ms)) ==
+          Approx(row.slowdown));
+  }
+}
+
 TEST_CASE("a registration that returns within the grace stays") {
   UpstreamRegistry registry;
   registry.Apply(Registered("a"), MonotonicTime(1000), MonotonicTime(0));
--- a/Source/UnitTests/Platform/codec_test.cc
+++ b/Source/UnitTests/Platform/codec_test.cc
@@ -334,6 +334,49 @@
   }
 }
 
+// Guards against a load that is lost because its header has figures of a later
+// version, and against a load that is made up from a malformed header.
+TEST_CASE("a load header is used as far as it is known") {
+  struct Row {
+    const char* name;
+    int status;
+    std::optional<std::string> value;
+    bool is_used;
+    std::optional<int> slowdown_percent;
+    bool is_malformed;
+  };
+  const Row rows[] = {
+      {"absent", 200, std::nullopt, false, {}, false},
+      {"no figure", 200, "", false, {}, true},
+      {"one figure", 200, "3", false, {}, true},
+      {"two figures", 200, "3,1", false, {}, true},
+      {"three figures", 200, "3,1,12", true, {}, false},
+      {"four figures", 200, "3,1,12,250", true, 250, false},
+      {"in a refusal", 503, "3,1,12,250", true, 250, false},
+      {"five figures", 200, "3,1,12,100,7", true, 100, false},
+      {"nine figures", 200, "3,1,12,100,7,x,-1,,9", true, 100, false},
+      {"a negative figure", 200, "3,-1,12,100", false, {}, true},
+      {"not a number", 200, "3,one,12", false, {}, true},
+      {"the fourth is not a number", 200, "3,1,12,slow", false, {}, true},
+      {"the fourth is empty", 200, "3,1,12,", false, {}, true},
+      {"the fourth is too large", 200, "3,1,12,4294967396", false, {}, true},
+      {"of another server", 421, "3,1,12,250", false, {}, false},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    HttpHeaders headers;
+    if (row.value) headers.Add("server-load", *row.value);
+    ResponseFields out = DecodeResponseFields(row.status, headers);
+    CHECK(out.has_malformed_load == row.is_malformed);
+    REQUIRE(out.load.has_value() == row.is_used);
+    if (!row.is_used) continue;
+    CHECK(out.load->running == 3);
+    CHECK(out.load->waiting == 1);
+    CHECK(out.load->slots == 12);
+    CHECK(out.load->slowdown_percent == row.slowdown_percent);
+  }
+}
+
 TEST_CASE("a rate limit is one non-negative decimal number") {
   struct Row {
     const char* name;
