--- a/Source/Core/Fleet/placement_policy.h
+++ b/Source/Core/Fleet/placement_policy.h
@@ -1,6 +1,7 @@
 // Chooses the upstream of a request, or finds that none can serve it in time.
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <span>
 #include <string_view>
@@ -29,10 +30,18 @@
                            MonotonicTime now) = 0;
 };
 
-/// Creates a policy. "expected-wait" chooses the least expected wait and
-/// refuses requests that would miss their target; "least-in-flight" and
-/// "round-robin" are baselines with a queue of fixed length. Returns null for
-/// an unknown name.
-std::unique_ptr<PlacementPolicy> MakePlacementPolicy(std::string_view name);
+/// Creates a policy. Returns null for an unknown name.
+/// - "expected-wait" chooses the least expected wait and refuses requests that
+///   would miss their target. Where several routers use the upstreams, it
+///   spreads requests by what the others have sent since the last reports.
+/// - "least-expected-wait" always chooses the least expected wait, "two-random"
+///   the better one of two random upstreams, and "free-slots" draws in
+///   proportion to the free slots; they admit requests as the first does, and
+///   are for comparison.
+/// - "least-in-flight" and "round-robin" are baselines with a queue of fixed
+///   length.
+/// `seed` is that of the random choices.
+std::unique_ptr<PlacementPolicy> MakePlacementPolicy(std::string_view name,
+                                                     uint64_t seed);
 
 }  // namespace primrosecove
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -129,7 +129,7 @@
 FleetRouter::~FleetRouter() { state_.requests.clear(); }
 
 Result<void> FleetRouter::Start() {
-  state_.policy = MakePlacementPolicy(options_.placement);
+  state_.policy = MakePlacementPolicy(options_.placement, state_.random());
   if (state_.policy == nullptr) {
     return Fail(ErrorCode::kInvalidArgument,
                 "unknown placement '" + options_.placement + "'");
--- a/Source/Emulator/experiment.cc
+++ b/Source/Emulator/experiment.cc
@@ -39,14 +39,18 @@
   nlohmann::json out = Summarize(scenario, outcomes);
   out["seed"] = seed;
   out["engine_use"] = model.Utilization();
+  out["load_greatest_over_mean"] = model.Balance().greatest_over_mean;
+  out["idle_while_queued"] = model.Balance().idle_share;
   return out;
 }
 
 nlohmann::json MeansOf(const std::vector<nlohmann::json>& runs) {
   nlohmann::json out;
-  for (const char* key : {kUtilityKey, "requests", "served", "in_time",
-                          "refused", "refused_once", "first_event_p50_ms",
-                          "first_event_p95_ms", "pause_p95_ms", "engine_use"}) {
+  for (const char* key :
+       {kUtilityKey, "requests", "served", "in_time", "refused", "refused_once",
+        "first_event_p50_ms", "first_event_p95_ms", "first_event_p99_ms",
+        "load_greatest_over_mean", "idle_while_queued", "pause_p95_ms",
+        "engine_use"}) {
     out[key] = MeanOf(runs, key);
   }
   return out;
@@ -75,7 +79,7 @@
   BOOST_OUTCOME_TRY(scenario, Scenario::Load(options.scenario_path));
   if (options.load > 0) ScaleToLoad(&scenario, options.load);
   for (const std::string& it : options.policies) {
-    if (MakePlacementPolicy(it) == nullptr) {
+    if (MakePlacementPolicy(it, 0) == nullptr) {
       return Fail(ErrorCode::kInvalidArgument, "unknown policy \"" + it + "\"");
     }
   }
--- a/Source/Emulator/fleet_model.cc
+++ b/Source/Emulator/fleet_model.cc
@@ -131,7 +131,7 @@
     auto router = std::make_unique<Router>(bounds);
     router->zone = zone.name;
     router->rate_limits = UpstreamRateLimits(routers_.size() + 1);
-    router->policy = MakePlacementPolicy(policy_);
+    router->policy = MakePlacementPolicy(policy_, random_());
     routers_.push_back(std::move(router));
   }
 }
@@ -173,6 +173,7 @@
 
 // Each agent reads the status of its local engine and sends it to all routers.
 void FleetModel::SendStatuses() {
+  auto lag_ms = static_cast<double>(scenario_->engine.status_lag.count());
   for (const auto& engine : engines_) {
     UpstreamStatus status;
     status.upstream = engine->endpoint;
@@ -193,7 +194,7 @@
     status.active_routers = static_cast<uint32_t>(routers_.size());
     status.reload_in_ms = ReloadDelayMs(*engine);
     for (auto& router : routers_) {
-      queue_.ScheduleAfter(DelayMs(engine->zone, router->zone),
+      queue_.ScheduleAfter(lag_ms + DelayMs(engine->zone, router->zone),
                            [this, status, it = router.get()] {
                              it->registry.RecordStatus(status, Now());
                            });
@@ -409,6 +410,7 @@
   out.reserve(arrivals.size());
   outcomes_ = &out;
   SendStatuses();
+  SampleLoads();
   ReportRateLimits();
   for (auto& it : routers_)
     it->retry_budget.SetRouterCount(static_cast<int>(routers_.size()), Now());
@@ -427,6 +429,40 @@
   return out;
 }
 
+void FleetModel::SampleLoads() {
+  constexpr double kPeriodMs = 50;
+  if (queue_.now() >= scenario_->seconds * kMsPerSecond) return;
+  double greatest = 0;
+  double sum = 0;
+  double idle = 0;
+  double queued = 0;
+  double slots = 0;
+  int engines = 0;
+  for (const auto& it : engines_) {
+    if (!it->model->is_up() || it->leaving) continue;
+    ++engines;
+    double load = it->model->running() + it->model->waiting();
+    greatest = std::max(greatest, load);
+    sum += load;
+    slots += scenario_->engine.slots;
+    idle += std::max(scenario_->engine.slots - load, 0.0);
+    queued += std::max(load - scenario_->engine.slots, 0.0);
+  }
+  if (sum > 0) {
+    balance_.greatest_over_mean += greatest * engines / sum;
+    balance_.idle_share += std::min(idle, queued) / slots;
+    ++balance_.samples;
+  }
+  queue_.ScheduleAfter(kPeriodMs, [this] { SampleLoads(); });
+}
+
+LoadBalance FleetModel::Balance() const {
+  LoadBalance out = balance_;
+  out.greatest_over_mean /= std::max(out.samples, 1);
+  out.idle_share /= std::max(out.samples, 1);
+  return out;
+}
+
 double FleetModel::Utilization() const {
   double busy = 0;
   double available = 0;
--- a/Source/Emulator/fleet_model.h
+++ b/Source/Emulator/fleet_model.h
@@ -49,6 +49,14 @@
   }
 };
 
+/// How evenly the engines of a run were loaded, as means over time.
+struct LoadBalance {
+  double greatest_over_mean = 0;  ///< Greatest load of an engine.
+  /// Share of the slots that are idle while as many requests queue elsewhere.
+  double idle_share = 0;
+  int samples = 0;
+};
+
 /// Holds the state of one run. Not thread safe.
 class FleetModel {
  public:
@@ -62,6 +70,8 @@
   std::vector<CallerOutcome> Run(std::span<const Arrival> arrivals);
   /// Busy over available engine time; valid after Run().
   double Utilization() const;
+  /// Valid after Run().
+  LoadBalance Balance() const;
   /// Returns the most requests that arrived at one engine within `window` while
   /// it had a rate limit, from some time after its first response with it.
   size_t MaxRateLimitedArrivals(Milliseconds window) const;
@@ -76,6 +86,7 @@
   void AddRouters(const EmulatedZone& zone);
   void Register(const Engine& engine, bool removed);
   void SendStatuses();
+  void SampleLoads();
   void ReportRateLimits();
   void OnResponse(Router* router, const Engine& engine, double sent_at);
   void ScheduleIncident(const Incident& incident);
@@ -140,6 +151,7 @@
   std::vector<std::unique_ptr<Router>> routers_;
   RateLimitRelay relay_;
   std::vector<CallerOutcome>* outcomes_ = nullptr;
+  LoadBalance balance_;  // Sums until Balance().
   uint64_t target_version_ = 1;
   uint64_t minimum_version_ = 1;
   uint64_t last_job_id_ = 0;
--- a/Source/Emulator/results.cc
+++ b/Source/Emulator/results.cc
@@ -10,6 +10,7 @@
 constexpr double kMsPerSecond = 1000;
 constexpr double kMedian = 0.5;
 constexpr double kP95 = 0.95;
+constexpr double kP99 = 0.99;
 // Upper shares of a class that bound the size groups: the largest tenth, and
 // the fifth below it.
 constexpr double kLargestShare = 0.1;
@@ -28,6 +29,7 @@
           {"worth", sums.UtilityRatio()},
           {"first_event_p50_ms", Percentile(sums.first_event_ms, kMedian)},
           {"first_event_p95_ms", Percentile(sums.first_event_ms, kP95)},
+          {"first_event_p99_ms", Percentile(sums.first_event_ms, kP99)},
           {"pause_p95_ms", Percentile(sums.gap_ms, kP95)}};
 }
 
--- a/Source/Emulator/scenario.cc
+++ b/Source/Emulator/scenario.cc
@@ -124,6 +124,7 @@
   reader.ReadDouble("pair_ms_per_million", &out.attention_ms_per_million_pairs,
                     0, kMaxNumber);
   ReadCount(&reader, "prefill_chunk_tokens", 0, &out.prefill_chunk_tokens);
+  ReadMilliseconds(&reader, "report_lag_ms", &out.status_lag);
   reader.ReportUnknownKeys();
   return out;
 }
--- a/Source/UnitTests/Fleet/placement_test.cc
+++ b/Source/UnitTests/Fleet/placement_test.cc
@@ -65,7 +65,7 @@
       {"all far over capacity", {30, 30, 30, 30}, nullptr},
       {"no candidates", {}, nullptr},
   };
-  auto policy = MakePlacementPolicy("expected-wait");
+  auto policy = MakePlacementPolicy("expected-wait", 1);
   for (const Row& row : rows) {
     INFO(row.name);
     Fixture fixture(row.loads, 1);
@@ -80,7 +80,7 @@
 TEST_CASE("routers together do not overfill an upstream that became empty") {
   for (int routers : {1, 4, 5, 16}) {
     INFO(routers << " routers");
-    auto policy = MakePlacementPolicy("expected-wait");
+    auto policy = MakePlacementPolicy("expected-wait", 1);
     int sent = 0;
     for (int router = 0; router < routers; ++router) {
       Fixture fixture({0}, routers);
@@ -108,7 +108,7 @@
       {"a slow host", 17, 250, "u2"},
       {"a faster host counts as usual", 17, 50, "u0"},
   };
-  auto policy = MakePlacementPolicy("expected-wait");
+  auto policy = MakePlacementPolicy("expected-wait", 1);
   for (const Row& row : rows) {
     INFO(row.name);
     Fixture fixture({row.load, 99, row.load, 99}, 1);
@@ -139,7 +139,7 @@
       {"late, more than a quarter left", {16, 11}, 900, false, true},
       {"late, but the response has started", {15, 15}, 900, true, true},
   };
-  auto policy = MakePlacementPolicy("expected-wait");
+  auto policy = MakePlacementPolicy("expected-wait", 1);
   for (const Row& row : rows) {
     INFO(row.name);
     Fixture fixture(row.loads, 1);
@@ -164,7 +164,7 @@
       {"a long response would delay it", 3000, 500, {0, 16, 8, 16}, "u2"},
       {"but is not refused for that", 3000, 500, {0, 30, 30, 30}, "u0"},
   };
-  auto policy = MakePlacementPolicy("expected-wait");
+  auto policy = MakePlacementPolicy("expected-wait", 1);
   for (const Row& row : rows) {
     INFO(row.name);
     Fixture fixture(row.loads, 1);
@@ -179,7 +179,7 @@
 }
 
 TEST_CASE("a started response is placed even if the target is missed") {
-  auto policy = MakePlacementPolicy("expected-wait");
+  auto policy = MakePlacementPolicy("expected-wait", 1);
   Fixture fixture({30, 24}, 1);
   CHECK(fixture.Choose(policy.get()).upstream == nullptr);
   fixture.request.response_started = true;
@@ -189,7 +189,7 @@
 }
 
 TEST_CASE("a refusal states when a slot should be free") {
-  auto policy = MakePlacementPolicy("expected-wait");
+  auto policy = MakePlacementPolicy("expected-wait", 1);
   Fixture fixture({24, 30}, 1);
   Placement placement = fixture.Choose(policy.get());
   REQUIRE(placement.upstream == nullptr);
@@ -200,7 +200,7 @@
 TEST_CASE("baseline policies keep a queue of fixed length") {
   for (const char* name : {"least-in-flight", "round-robin"}) {
     INFO(name);
-    auto policy = MakePlacementPolicy(name);
+    auto policy = MakePlacementPolicy(name, 1);
     REQUIRE(policy != nullptr);
     Fixture fixture({23, 30}, 1);
     REQUIRE(fixture.Choose(policy.get()).upstream != nullptr);
@@ -208,7 +208,7 @@
     Fixture full({24, 30}, 1);
     CHECK(full.Choose(policy.get()).upstream == nullptr);
   }
-  CHECK(MakePlacementPolicy("by-wish") == nullptr);
+  CHECK(MakePlacementPolicy("by-wish", 1) == nullptr);
 }
 
 }  // namespace
