--- a/Source/UnitTests/Fleet/upstream_registry_test.cc
+++ b/Source/UnitTests/Fleet/upstream_registry_test.cc
@@ -89,6 +89,20 @@
   }
 }
 
+// Guards against a log line for each response of an upstream whose load header
+// is malformed, and against a load that such a response changes.
+TEST_CASE("malformed loads are counted, and logged once for each upstream") {
+  UpstreamRegistry registry;
+  registry.Apply(Registered("a"), MonotonicTime(-9000), MonotonicTime(0));
+  registry.RecordResponseLoad("a", {2, 1, 4, {}}, MonotonicTime(0));
+  CHECK_FALSE(registry.Find("a")->has_logged_malformed_load);
+  for (int i = 0; i < 3; ++i) registry.RecordMalformedLoad("a");
+  registry.RecordMalformedLoad("unknown");
+  CHECK(registry.malformed_loads() == 4);
+  CHECK(registry.Find("a")->has_logged_malformed_load);
+  CHECK(registry.Find("a")->ExpectedLoad(MonotonicTime(0)) == 3);
+}
+
 TEST_CASE("a registration that returns within the grace stays") {
   UpstreamRegistry registry;
   registry.Apply(Registered("a"), MonotonicTime(1000), MonotonicTime(0));
