--- a/Source/Core/Fleet/admission.cc
+++ b/Source/Core/Fleet/admission.cc
@@ -15,21 +15,19 @@
 
 // Returns the time until the request would get a slot if `ahead_share` of the
 // waiting requests are served before it and `more_urgent_share` of the slots
-// that become free go to later requests. A slot becomes free every
-// mean_service_time / slots on average.
+// that become free go to later requests.
 double WaitMs(const FleetUpstream& upstream, const PlacementRequest& request,
-              double ahead_share, double more_urgent_share, MonotonicTime now) {
-  int slots = std::max(upstream.record.slots, 1);
-  int waiting = upstream.ExpectedLoad(now) - slots;
+              double load, double ahead_share, double more_urgent_share,
+              MonotonicTime now) {
+  double waiting = load - std::max(upstream.record.slots, 1);
   if (waiting < 0) return 0;
-  double slot_interval =
-      static_cast<double>(request.mean_service_time.count()) / slots;
-  return (waiting * ahead_share + 1) * slot_interval / (1 - more_urgent_share);
+  return (waiting * ahead_share + 1) * SlotIntervalMs(upstream, request, now) /
+         (1 - more_urgent_share);
 }
 
-// Returns the time from getting a slot to the response or its first event.
-double OwnMs(const FleetUpstream& upstream, const PlacementRequest& request,
-             int64_t prompt_tokens) {
+double OwnTimeOfPromptMs(const FleetUpstream& upstream,
+                         const PlacementRequest& request, int64_t prompt_tokens,
+                         MonotonicTime now) {
   auto out = static_cast<double>(request.mean_service_time.count());
   if (request.service->engine) {
     const EngineProfile& engine = *request.service->engine;
@@ -38,14 +36,12 @@
     out = PrefillMs(engine, prompt_tokens) +
           2 * engine.step_ms * engine.steps_per_iteration;
   }
-  double slowdown =
-      upstream.status ? upstream.status->slowdown_percent / 100.0 : 1.0;
-  return out * std::max(slowdown, 1.0);
+  return out * upstream.Slowdown(now);
 }
 
 // Returns whether a typical request of a priority would meet its target.
 bool FitsTarget(const FleetUpstream& upstream, const PlacementRequest& request,
-                const PriorityClass& it, MonotonicTime now) {
+                double load, const PriorityClass& it, MonotonicTime now) {
   if (it.latency_target.count() == 0) return true;
   int64_t tokens = request.prompt_tokens;
   if (request.service->engine &&
@@ -53,39 +49,59 @@
     tokens =
         static_cast<int64_t>(request.service->engine->typical_prompt_tokens);
   }
-  double wait =
-      WaitMs(upstream, request, it.ahead_share, it.more_urgent_share, now);
-  return wait + OwnMs(upstream, request, tokens) <=
+  double wait = WaitMs(upstream, request, load, it.ahead_share,
+                       it.more_urgent_share, now);
+  return wait + OwnTimeOfPromptMs(upstream, request, tokens, now) <=
          static_cast<double>(it.latency_target.count());
 }
 
 }  // namespace
 
-double ExpectedWaitMs(const FleetUpstream& upstream,
+double SlotIntervalMs(const FleetUpstream& upstream,
                       const PlacementRequest& request, MonotonicTime now) {
-  if (request.priorities.empty()) return WaitMs(upstream, request, 1, 0, now);
+  int slots = std::max(upstream.record.slots, 1);
+  return static_cast<double>(request.mean_service_time.count()) / slots *
+         upstream.Slowdown(now);
+}
+
+double OwnTimeMs(const FleetUpstream& upstream, const PlacementRequest& request,
+                 MonotonicTime now) {
+  return OwnTimeOfPromptMs(upstream, request, request.prompt_tokens, now);
+}
+
+double ExpectedWaitMs(const FleetUpstream& upstream,
+                      const PlacementRequest& request, double load,
+                      MonotonicTime now) {
+  if (request.priorities.empty())
+    return WaitMs(upstream, request, load, 1, 0, now);
   const PriorityClass& own = FindClass(request.priorities, request.priority);
-  return WaitMs(upstream, request, own.ahead_share, own.more_urgent_share, now);
+  return WaitMs(upstream, request, load, own.ahead_share, own.more_urgent_share,
+                now);
+}
+
+double ExpectedWaitMs(const FleetUpstream& upstream,
+                      const PlacementRequest& request, MonotonicTime now) {
+  return ExpectedWaitMs(upstream, request, upstream.ExpectedLoad(now), now);
 }
 
 bool CanAccept(const FleetUpstream& upstream, const PlacementRequest& request,
-               double wait_ms, MonotonicTime now) {
+               double load, double wait_ms, MonotonicTime now) {
   if (request.response_started) return true;
   if (request.waited > request.route->latency_target) {
     int slots = std::max(upstream.record.slots, 1);
-    auto reserved = static_cast<int>(std::ceil(kReservedShare * slots));
+    double reserved = std::ceil(kReservedShare * slots);
     // An upstream that orders its queue by priority serves late requests last.
     if (!request.priorities.empty()) reserved = 0;
-    return upstream.ExpectedLoad(now) < slots - reserved;
+    return load < slots - reserved;
   }
   if (wait_ms <= 0) return true;
   auto target_ms = static_cast<double>(request.route->latency_target.count());
   double start_ms = static_cast<double>(request.waited.count()) +
-                    OwnMs(upstream, request, request.prompt_tokens);
+                    OwnTimeMs(upstream, request, now);
   if (start_ms + wait_ms > target_ms) return false;
   if (request.priorities.empty()) return true;
   auto fits = [&](const PriorityClass& it) {
-    return FitsTarget(upstream, request, it, now);
+    return FitsTarget(upstream, request, load, it, now);
   };
   auto own = std::find_if(
       request.priorities.begin(), request.priorities.end(),
@@ -99,6 +115,11 @@
   return std::any_of(std::next(own), request.priorities.end(), fits);
 }
 
+bool CanAccept(const FleetUpstream& upstream, const PlacementRequest& request,
+               double wait_ms, MonotonicTime now) {
+  return CanAccept(upstream, request, upstream.ExpectedLoad(now), wait_ms, now);
+}
+
 double PrefillMs(const EngineProfile& engine, int64_t prompt_tokens) {
   constexpr double kMillion = 1e6;
   auto tokens = static_cast<double>(prompt_tokens);
