Record why an upstream is excluded, and copy placement policies

Cause: an explanation of a placement has to name the reason for each upstream, and must not change what later requests find. CandidateSet only counts reasons, Accepting() gives none, and "round-robin" has state.

Change: CandidateSet records the reason for each upstream if it is asked to; requests don't ask, as it copies the candidates for each reason. UpstreamRegistry::WhyNotAccepting() is split out of Accepting(). PlacementPolicy::Clone() copies a policy with its state.

Choices are unchanged.

--- a/Source/Core/Fleet/candidate_set.cc
+++ b/Source/Core/Fleet/candidate_set.cc
@@ -1,5 +1,7 @@
 #include "Core/Fleet/candidate_set.h"
 
+#include <algorithm>
+
 namespace primrosecove {
 
 std::string_view NameOf(ExclusionReason reason) {
@@ -17,6 +19,21 @@
   return std::nullopt;
 }
 
+std::optional<ExclusionReason> CandidateSet::ReasonFor(
+    const FleetUpstream& upstream) const {
+  auto it = reasons_.find(&upstream);
+  if (it == reasons_.end()) return std::nullopt;
+  return it->second;
+}
+
+void CandidateSet::RecordReason(ExclusionReason reason,
+                                std::span<FleetUpstream* const> before) {
+  for (const FleetUpstream* it : before) {
+    if (std::find(upstreams_.begin(), upstreams_.end(), it) == upstreams_.end())
+      reasons_.emplace(it, reason);
+  }
+}
+
 std::string CandidateSet::Summary() const {
   std::string out;
   for (size_t i = 0; i < kExclusionReasons; ++i) {
--- a/Source/Core/Fleet/candidate_set.h
+++ b/Source/Core/Fleet/candidate_set.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <concepts>
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -43,9 +44,10 @@
   /// Excludes the upstreams for which `is_excluded` returns true.
   template <std::predicate<const FleetUpstream&> F>
   void Exclude(ExclusionReason reason, F is_excluded) {
-    auto n = std::erase_if(
-        upstreams_, [&](const FleetUpstream* it) { return is_excluded(*it); });
-    excluded_[static_cast<size_t>(reason)] += n;
+    ExcludeWith(reason, [&](std::vector<FleetUpstream*>* upstreams) {
+      std::erase_if(*upstreams,
+                    [&](const FleetUpstream* it) { return is_excluded(*it); });
+    });
   }
 
   /// Excludes upstreams for a limited time: `remove` takes the vector of
@@ -64,10 +66,19 @@
   template <typename F>
   void ExcludeWith(ExclusionReason reason, F remove) {
     size_t before = upstreams_.size();
+    std::vector<FleetUpstream*> all;
+    if (records_reasons_) all = upstreams_;
     remove(&upstreams_);
     excluded_[static_cast<size_t>(reason)] += before - upstreams_.size();
+    if (records_reasons_) RecordReason(reason, all);
   }
 
+  /// Records from now on for each upstream which reason excludes it. Requests
+  /// do without, because it takes a copy of the candidates for each reason.
+  void RecordReasons() { records_reasons_ = true; }
+  /// Returns the recorded reason that excludes an upstream, or nothing.
+  std::optional<ExclusionReason> ReasonFor(const FleetUpstream& upstream) const;
+
   std::span<FleetUpstream* const> upstreams() const { return upstreams_; }
   bool empty() const { return upstreams_.empty(); }
   size_t excluded(ExclusionReason reason) const {
@@ -86,7 +97,13 @@
   std::string Summary() const;
 
  private:
+  // Records the reason for those of `before` that are candidates no longer.
+  void RecordReason(ExclusionReason reason,
+                    std::span<FleetUpstream* const> before);
+
   std::vector<FleetUpstream*> upstreams_;
+  bool records_reasons_ = false;
+  std::map<const FleetUpstream*, ExclusionReason> reasons_;
   std::array<size_t, kExclusionReasons> excluded_{};
   std::optional<Milliseconds> time_to_request_;
 };
--- a/Source/Core/Fleet/placement_policy.cc
+++ b/Source/Core/Fleet/placement_policy.cc
@@ -32,6 +32,9 @@
 
 class ExpectedWait : public PlacementPolicy {
  public:
+  std::unique_ptr<PlacementPolicy> Clone() const override {
+    return std::make_unique<ExpectedWait>(*this);
+  }
   Placement Choose(std::span<FleetUpstream* const> candidates,
                    const PlacementRequest& request,
                    MonotonicTime now) override {
@@ -87,6 +90,9 @@
 
 class LeastInFlight : public PlacementPolicy {
  public:
+  std::unique_ptr<PlacementPolicy> Clone() const override {
+    return std::make_unique<LeastInFlight>(*this);
+  }
   Placement Choose(std::span<FleetUpstream* const> candidates,
                    const PlacementRequest&, MonotonicTime now) override {
     Placement out;
@@ -104,6 +110,9 @@
 
 class RoundRobin : public PlacementPolicy {
  public:
+  std::unique_ptr<PlacementPolicy> Clone() const override {
+    return std::make_unique<RoundRobin>(*this);
+  }
   Placement Choose(std::span<FleetUpstream* const> candidates,
                    const PlacementRequest&, MonotonicTime now) override {
     Placement out;
--- a/Source/Core/Fleet/placement_policy.h
+++ b/Source/Core/Fleet/placement_policy.h
@@ -27,6 +27,9 @@
   virtual Placement Choose(std::span<FleetUpstream* const> candidates,
                            const PlacementRequest& request,
                            MonotonicTime now) = 0;
+  /// Returns a policy with the same state, whose choices don't change those of
+  /// this one.
+  virtual std::unique_ptr<PlacementPolicy> Clone() const = 0;
 };
 
 /// Creates a policy. "expected-wait" chooses the least expected wait and
--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -460,19 +460,23 @@
   return all == 0 ? 0 : static_cast<double>(silent) / all;
 }
 
+const char* UpstreamRegistry::WhyNotAccepting(const FleetUpstream& upstream,
+                                              MonotonicTime now) {
+  if (upstream.IsLeaving()) return "leaving";
+  bool has_status =
+      upstream.status && now - upstream.status_received_at < kStatusLifetime;
+  if (!has_status) return nullptr;
+  if (!upstream.status->reachable) return "unreachable";
+  // A loading engine accepts no requests until its running ones have ended.
+  return upstream.status->loading ? "loading" : nullptr;
+}
+
 std::vector<FleetUpstream*> UpstreamRegistry::Accepting(
     const std::string& service, MonotonicTime now) {
   std::vector<FleetUpstream*> out;
   for (auto& [id, upstream] : upstreams_) {
-    if (upstream.record.service != service || upstream.IsLeaving()) continue;
-    bool has_status =
-        upstream.status && now - upstream.status_received_at < kStatusLifetime;
-    // A loading engine accepts no requests until its running ones have ended.
-    if (has_status &&
-        (!upstream.status->reachable || upstream.status->loading)) {
-      continue;
-    }
-    out.push_back(&upstream);
+    if (upstream.record.service != service) continue;
+    if (WhyNotAccepting(upstream, now) == nullptr) out.push_back(&upstream);
   }
   return out;
 }
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -155,6 +155,10 @@
   /// Returns how often an upstream has fallen silent.
   uint64_t silences() const { return silences_; }
 
+  /// Returns why an upstream accepts no new requests at `now`, or null if it
+  /// accepts them.
+  static const char* WhyNotAccepting(const FleetUpstream& upstream,
+                                     MonotonicTime now);
   /// Returns the upstreams of a service that accept new requests at `now`, also
   /// those whose requests fail and those that are silent.
   std::vector<FleetUpstream*> Accepting(const std::string& service,
--- a/Source/UnitTests/Fleet/placement_test.cc
+++ b/Source/UnitTests/Fleet/placement_test.cc
@@ -184,5 +184,18 @@
   CHECK(MakePlacementPolicy("by-wish") == nullptr);
 }
 
+TEST_CASE("choices of a copied policy do not change those of the original") {
+  // An explained request must not take a turn of "round-robin".
+  for (const char* name : {"expected-wait", "least-in-flight", "round-robin"}) {
+    INFO(name);
+    auto policy = MakePlacementPolicy(name);
+    Fixture fixture({0, 0}, 1);
+    fixture.Choose(policy.get());
+    std::string copied =
+        fixture.Choose(policy->Clone().get()).upstream->record.id;
+    CHECK(fixture.Choose(policy.get()).upstream->record.id == copied);
+  }
+}
+
 }  // namespace
 }  // namespace primrosecove
