Explain at a router where a request would go

Change: the metrics endpoint answers /explain with the route, service, workspace and priority, the exclusion reason or expected wait, load and its age of each upstream, and the upstream chosen or the refusal with the range of its Retry-After. FleetRequest::Explain() uses the functions of a real request: Resolve(), FindCandidates() and ChooseAmong() are split out of what counted, logged or responded before. What they would change (rate limits, waits of callers, the policy) is copied. Bad input gets 400 and one line. The check of crashes by the body is left out, as the body is unknown.

--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -19,6 +19,7 @@
 constexpr size_t kMaxResponseBytes = 4 << 20;
 constexpr size_t kMaxEventBytes = 1 << 20;
 constexpr int kStatusServerError = 500;
+constexpr int kStatusUnavailable = 503;
 
 // Maps an id to a value in [0, 1), uniformly and deterministically.
 double UniformHash(std::string_view id) {
@@ -37,36 +38,23 @@
 
 void FleetRequest::Start() {
   ++state_->counters.requests;
-  arrived_at_ = state_->Now();
-  routes_ = state_->routes;
   fields_ = platform::DecodeCallerFields(exchange_->request().headers);
   if (fields_.has_unusable_prompt_parts) {
     PC_INFO(kRouter, "event=prompt_parts_left_out id="
                          << fields_.request_id
                          << " kept=" << fields_.prompt_parts.size());
   }
-  if (state_->closing)
-    return Refuse("router is stopping", kRetryElsewhereDelay);
-  if (routes_ == nullptr)
-    return Refuse("no configuration yet", kRetryElsewhereDelay);
-  // An evacuation may be among what has not been read yet.
-  if (state_->settings.bounds.evacuate && !state_->deployment_read)
-    return Refuse("deployment not read yet", kRetryElsewhereDelay);
+  if (auto rejection = Resolve()) return Reject(*rejection);
   for (const std::string& it : fields_.prompt_parts)
     prompt_part_fingerprints_.push_back(PromptPartFingerprint(it));
-  if (!ResolveRoute() || !Authenticate() || !CheckSuspect() ||
-      !CheckPromptParts()) {
-    return;
-  }
+  if (!CheckSuspect() || !CheckPromptParts()) return;
   Milliseconds time_limit = route_->timeout;
   if (fields_.deadline) time_limit = std::min(time_limit, *fields_.deadline);
   deadline_ = arrived_at_ + time_limit;
   if (state_->responses_due_at)
     deadline_ = std::min(deadline_, *state_->responses_due_at);
-  if (!FitsBeforeStop())
-    return Refuse("router is stopping", kRetryElsewhereDelay);
-  caller_wait_ = state_->wait_estimator.RecordAndEstimate(
-      route_->host + route_->prefix, fields_.deadline, arrived_at_);
+  if (!FitsBeforeStop()) return Reject(MakeRefusal("router is stopping"));
+  caller_wait_ = EstimateCallerWait(&state_->wait_estimator);
   StartDeadlineTimer();
   std::weak_ptr<FleetRequest> weak = weak_from_this();
   exchange_->OnDisconnect([weak] {
@@ -95,25 +83,32 @@
          *state_->responses_due_at;
 }
 
-bool FleetRequest::ResolveRoute() {
+std::optional<FleetRequest::Rejection> FleetRequest::Resolve() {
+  arrived_at_ = state_->Now();
+  routes_ = state_->routes;
+  if (state_->closing) return MakeRefusal("router is stopping");
+  if (routes_ == nullptr) return MakeRefusal("no configuration yet");
+  // An evacuation may be among what has not been read yet.
+  if (state_->settings.bounds.evacuate && !state_->deployment_read)
+    return MakeRefusal("deployment not read yet");
+  if (auto rejection = ResolveRoute()) return rejection;
+  return Authenticate();
+}
+
+std::optional<FleetRequest::Rejection> FleetRequest::ResolveRoute() {
   const HttpRequest& request = exchange_->request();
   route_ =
       routes_->Match(request.headers.Find("Host").value_or(""), request.Path());
-  if (route_ == nullptr) {
-    Deny(404, "Not Found", "no matching route");
-    return false;
-  }
+  if (route_ == nullptr)
+    return MakeDenial(404, "Not Found", "no matching route");
   const std::string& name =
       routes_->ChooseService(*route_, UniformHash(fields_.request_id));
   service_ = routes_->FindService(name);
-  if (service_ == nullptr) {
-    Refuse("unknown service", kRetryElsewhereDelay);
-    return false;
-  }
-  return true;
+  if (service_ == nullptr) return MakeRefusal("unknown service");
+  return std::nullopt;
 }
 
-bool FleetRequest::Authenticate() {
+std::optional<FleetRequest::Rejection> FleetRequest::Authenticate() {
   const FleetWorkspace* workspace =
       fields_.key ? routes_->FindKey(*fields_.key) : nullptr;
   allowed_regions_ = AllowedRegions(route_, workspace);
@@ -121,24 +116,39 @@
   if (workspace != nullptr && workspace->priority)
     priority_ = *workspace->priority;
   if (!routes_->needs_keys() || (route_->is_public && !fields_.key)) {
-    return true;
+    return std::nullopt;
   }
   BootTime now = BootNow();
   if (route_->is_public) {
     bool known = workspace != nullptr && state_->freshness.MayUseKeys(now);
     if (known) workspace_ = workspace->name;
-    return true;
-  }
-  if (workspace == nullptr) {
-    Deny(401, "Unauthorized", "missing or unknown API key");
-    return false;
-  }
-  if (!state_->freshness.MayUseKeys(now)) {
-    Refuse("configuration too old to accept keys", kRetryElsewhereDelay);
-    return false;
+    return std::nullopt;
   }
+  if (workspace == nullptr)
+    return MakeDenial(401, "Unauthorized", "missing or unknown API key");
+  if (!state_->freshness.MayUseKeys(now))
+    return MakeRefusal("configuration too old to accept keys");
   workspace_ = workspace->name;
-  return true;
+  return std::nullopt;
+}
+
+FleetRequest::Rejection FleetRequest::MakeRefusal(const char* why) {
+  return {kStatusUnavailable, "Service Unavailable", why, kRetryElsewhereDelay};
+}
+
+FleetRequest::Rejection FleetRequest::MakeDenial(int status, const char* reason,
+                                                 const char* why) const {
+  // A stale configuration may lack a new route or key, so it can't justify a
+  // denial.
+  if (!state_->freshness.MayDenyUnknown(BootNow()))
+    return MakeRefusal("configuration too old to deny");
+  return {status, reason, why, std::nullopt};
+}
+
+Milliseconds FleetRequest::EstimateCallerWait(
+    CallerWaitEstimator* estimator) const {
+  return estimator->RecordAndEstimate(route_->host + route_->prefix,
+                                      fields_.deadline, arrived_at_);
 }
 
 Milliseconds FleetRequest::TimeLeft() const {
@@ -159,7 +169,7 @@
     return Finish("broken_off", 0, why);
   }
   if (MayHaveExecuted()) return Fail(502, "Bad Gateway", why);
-  Refuse(why, RetryAfterFor(retry_after));
+  Refuse(why, RetryAfterFor(retry_after, state_->RandomFraction()));
 }
 
 UpstreamFields FleetRequest::MakeUpstreamFields(const FleetUpstream& upstream,
@@ -464,23 +474,20 @@
 void FleetRequest::Refuse(const char* why,
                           std::optional<Milliseconds> retry_after) {
   ++state_->counters.refused;
-  exchange_->Respond(503, "Service Unavailable",
+  exchange_->Respond(kStatusUnavailable, "Service Unavailable",
                      platform::RefusalHeaders(fields_.request_id, retry_after),
                      "");
-  Finish("refused", 503, why);
+  Finish("refused", kStatusUnavailable, why);
 }
 
-void FleetRequest::Deny(int status, std::string_view reason, const char* why) {
-  // A stale configuration may lack a new route or key, so it can't justify a
-  // denial.
-  if (!state_->freshness.MayDenyUnknown(BootNow())) {
-    return Refuse("configuration too old to deny", kRetryElsewhereDelay);
-  }
+void FleetRequest::Reject(const Rejection& rejection) {
+  if (rejection.status == kStatusUnavailable)
+    return Refuse(rejection.why, rejection.retry_after);
   ++state_->counters.denied;
-  exchange_->Respond(status, reason,
+  exchange_->Respond(rejection.status, rejection.reason,
                      platform::RefusalHeaders(fields_.request_id, std::nullopt),
                      "");
-  Finish("denied", status, why);
+  Finish("denied", rejection.status, rejection.why);
 }
 
 void FleetRequest::Fail(int status, std::string_view reason, const char* why) {
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -16,6 +16,7 @@
 #include "Core/Net/http1_server.h"
 #include "Core/Router/fleet_attempt.h"
 #include "Core/Router/fleet_state.h"
+#include "Core/Router/placement_explanation.h"
 
 namespace primrosecove {
 
@@ -43,6 +44,9 @@
   /// They go on, because the upstream may only have lost its registration.
   void OnUpstreamCrash(const std::string& upstream_id);
   bool ended() const { return ended_; }
+  /// Returns what would be done now with a request that has `fields`, without
+  /// sending it. Precondition: Start() is never called on this object.
+  PlacementExplanation Explain(const CallerFields& fields);
 
  private:
   // Whether any attempt may have executed the request.
@@ -57,6 +61,13 @@
     const char* why;
     RetryUrgency urgency;
   };
+  // The response to a request for which no placement is attempted.
+  struct Rejection {
+    int status;
+    const char* reason;
+    const char* why;
+    std::optional<Milliseconds> retry_after;
+  };
 
   // Retry-After of refusals where another router may accept the request
   // immediately, such as those for a stale configuration.
@@ -65,8 +76,16 @@
   // them, so they don't count as attempts.
   static constexpr int kMaxFailedConnections = 3;
 
-  bool ResolveRoute();
-  bool Authenticate();
+  // Finds the route, service and workspace of the request in the configuration
+  // in force. Returns why it can't be placed, or nothing. Changes no state but
+  // this object's, as do the functions that it calls.
+  std::optional<Rejection> Resolve();
+  std::optional<Rejection> ResolveRoute();
+  std::optional<Rejection> Authenticate();
+  // A refusal after which another router may accept the request.
+  static Rejection MakeRefusal(const char* why);
+  Rejection MakeDenial(int status, const char* reason, const char* why) const;
+  Milliseconds EstimateCallerWait(CallerWaitEstimator* estimator) const;
   // Refuses a request that has crashed upstreams and marks one that is
   // suspected of it.
   bool CheckSuspect();
@@ -83,12 +102,19 @@
   void RecordConnectionLoss(FleetAttempt* attempt);
   void RecordLossIfSilent(FleetAttempt* attempt);
   Placement ChoosePlacement(MonotonicTime now);
+  // Chooses among `candidates` by `policy` and changes no other state.
+  Placement ChooseAmong(const CandidateSet& candidates, PlacementPolicy* policy,
+                        MonotonicTime now) const;
+  // `priorities` holds what the returned request refers to.
+  PlacementRequest MakePlacementRequest(std::vector<PriorityClass>* priorities,
+                                        MonotonicTime now) const;
   // The demand of the priorities that the request competes with, or null if
   // its service knows only one. The request's own priority is among them.
   PriorityDemand* FindDemand() const;
   // Priority in the upstream's queue, if requests differ there.
   std::optional<int> UpstreamPriority() const;
-  Milliseconds RetryAfterFor(Milliseconds soonest);
+  // `random_value` is uniform in [0, 1).
+  Milliseconds RetryAfterFor(Milliseconds soonest, double random_value) const;
   // When a request may be served whose last candidates were excluded for a
   // reason that ends with no known time.
   Milliseconds TimeToOtherCandidates(
@@ -97,8 +123,12 @@
   Milliseconds MeanServiceTime() const;
   Milliseconds EstimateServiceTime(Milliseconds mean) const;
   void Dispatch();
-  // The upstreams that may get the request, without a choice among them.
-  CandidateSet FindCandidates(MonotonicTime now);
+  // Excludes the upstreams that may not get the request. Changes no state but
+  // that of its arguments.
+  void FindCandidates(CandidateSet* candidates, UpstreamRateLimits* rate_limits,
+                      MonotonicTime now) const;
+  void ExplainUpstreams(const CandidateSet& candidates, MonotonicTime now,
+                        PlacementExplanation* out) const;
   void ExcludeByWeights(CandidateSet* candidates, MonotonicTime now) const;
   void StartAttempt(const Placement& placement);
   UpstreamFields MakeUpstreamFields(const FleetUpstream& upstream,
@@ -157,7 +187,7 @@
   void StartDeadlineTimer();
 
   void Refuse(const char* why, std::optional<Milliseconds> retry_after);
-  void Deny(int status, std::string_view reason, const char* why);
+  void Reject(const Rejection& rejection);
   void Fail(int status, std::string_view reason, const char* why);
   void Finish(const char* outcome, int status, const char* why);
 
--- a/Source/Core/Router/fleet_request_placement.cc
+++ b/Source/Core/Router/fleet_request_placement.cc
@@ -39,8 +39,10 @@
 
 }  // namespace
 
-CandidateSet FleetRequest::FindCandidates(MonotonicTime now) {
-  CandidateSet out(state_->registry.Accepting(service_->name, now));
+void FleetRequest::FindCandidates(CandidateSet* candidates,
+                                  UpstreamRateLimits* rate_limits,
+                                  MonotonicTime now) const {
+  CandidateSet& out = *candidates;
   out.Exclude(ExclusionReason::kRegion, [this](const FleetUpstream& it) {
     return !allowed_regions_.Allows(
         RegionOfZone(state_->settings, it.record.zone));
@@ -57,7 +59,8 @@
   out.Exclude(ExclusionReason::kSilent, [](const FleetUpstream& it) {
     return it.silent_since.has_value();
   });
-  if (service_->engine && route_->is_generative) ExcludeByWeights(&out, now);
+  if (service_->engine && route_->is_generative)
+    ExcludeByWeights(candidates, now);
   if (is_suspect_) {
     // With two suspects at one upstream, a crash can't be attributed to either,
     // so suspects are kept apart if another upstream is available.
@@ -73,17 +76,12 @@
     return state_->rests.RemoveResting(it, now);
   });
   out.ExcludeForTime(ExclusionReason::kRateLimit, [&](auto* it) {
-    return state_->rate_limits.RemoveLimited(it, now, WallClockMs());
+    return rate_limits->RemoveLimited(it, now, WallClockMs());
   });
   out.ExcludeForTime(ExclusionReason::kColdStart, [&](auto* it) {
     return state_->cold_starts.RemoveLimited(it, *service_, state_->evacuations,
                                              now, WallClockMs());
   });
-  for (size_t i = 0; i < kExclusionReasons; ++i) {
-    state_->counters.exclusions[i] +=
-        out.excluded(static_cast<ExclusionReason>(i));
-  }
-  return out;
 }
 
 void FleetRequest::ExcludeByWeights(CandidateSet* candidates,
@@ -100,7 +98,39 @@
 }
 
 Placement FleetRequest::ChoosePlacement(MonotonicTime now) {
-  CandidateSet candidates = FindCandidates(now);
+  CandidateSet candidates(state_->registry.Accepting(service_->name, now));
+  FindCandidates(&candidates, &state_->rate_limits, now);
+  for (size_t i = 0; i < kExclusionReasons; ++i) {
+    state_->counters.exclusions[i] +=
+        candidates.excluded(static_cast<ExclusionReason>(i));
+  }
+  Placement out = ChooseAmong(candidates, state_->policy.get(), now);
+  if (candidates.empty()) {
+    PC_INFO(kRouter, "event=no_candidate id=" << fields_.request_id
+                                              << " excluded=\""
+                                              << candidates.Summary() << "\"");
+  }
+  return out;
+}
+
+Placement FleetRequest::ChooseAmong(const CandidateSet& candidates,
+                                    PlacementPolicy* policy,
+                                    MonotonicTime now) const {
+  std::vector<PriorityClass> priorities;
+  PlacementRequest request = MakePlacementRequest(&priorities, now);
+  Placement out = policy->Choose(candidates.upstreams(), request, now);
+  if (!candidates.empty()) {
+    out.refusal_reason = "all upstreams at capacity";
+    return out;
+  }
+  out.refusal_reason = RefusalReason(candidates.LastReason());
+  out.retry_after = candidates.time_to_request().value_or(
+      TimeToOtherCandidates(candidates.LastReason()));
+  return out;
+}
+
+PlacementRequest FleetRequest::MakePlacementRequest(
+    std::vector<PriorityClass>* priorities, MonotonicTime now) const {
   PlacementRequest request;
   request.route = route_;
   request.service = service_;
@@ -113,26 +143,14 @@
       EstimateServiceTime(request.mean_service_time);
   request.waited = caller_wait_ + (now - arrived_at_);
   request.response_started = event_count_ > 0;
-  std::vector<PriorityClass> priorities;
   if (PriorityDemand* demand = FindDemand()) {
-    priorities = demand->Classes(now);
-    request.priorities = priorities;
+    *priorities = demand->Classes(now);
+    request.priorities = *priorities;
     request.priority = priority_;
     request.workspace_factor =
         demand->WorkspaceFactor(priority_, workspace_, now);
   }
-  Placement out = state_->policy->Choose(candidates.upstreams(), request, now);
-  if (!candidates.empty()) {
-    out.refusal_reason = "all upstreams at capacity";
-    return out;
-  }
-  out.refusal_reason = RefusalReason(candidates.LastReason());
-  out.retry_after = candidates.time_to_request().value_or(
-      TimeToOtherCandidates(candidates.LastReason()));
-  PC_INFO(kRouter, "event=no_candidate id=" << fields_.request_id
-                                            << " excluded=\""
-                                            << candidates.Summary() << "\"");
-  return out;
+  return request;
 }
 
 PriorityDemand* FleetRequest::FindDemand() const {
@@ -150,8 +168,8 @@
   return std::clamp(priority_, 0, UpstreamFields::kMaxPriority - 1);
 }
 
-Milliseconds FleetRequest::RetryAfterFor(Milliseconds soonest) {
-  double random_value = state_->RandomFraction();
+Milliseconds FleetRequest::RetryAfterFor(Milliseconds soonest,
+                                         double random_value) const {
   PriorityDemand* demand = FindDemand();
   if (demand == nullptr) return ComputeRetryAfter(soonest, random_value);
   return ComputeRetryAfter(soonest, random_value, demand->RankOf(priority_),
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -11,6 +11,7 @@
 #include "Core/Fleet/fleet_ports.h"
 #include "Core/Membership/crash_exchange.h"
 #include "Core/Router/fleet_request.h"
+#include "Core/Router/placement_explanation.h"
 #include "platform/headers.h"
 #include "platform/settings.h"
 #include "platform/store_source.h"
@@ -142,10 +143,8 @@
       loop_, kInternalServerLimits,
       [this](auto exchange) { HandleReadiness(std::move(exchange)); });
   metrics_server_ = std::make_unique<Http1Server>(
-      loop_, kInternalServerLimits, [this](auto exchange) {
-        exchange->Respond(200, "OK", {{"Content-Type", "text/plain"}},
-                          metrics_.Render());
-      });
+      loop_, kInternalServerLimits,
+      [this](auto exchange) { HandleMetrics(std::move(exchange)); });
   peer_socket_ = std::make_unique<UdpSocket>(
       loop_, [this](std::string_view bytes, const Endpoint& from) {
         HandleDatagram(bytes, from);
@@ -224,6 +223,24 @@
   exchange->Respond(503, "Service Unavailable", {}, "");
 }
 
+void FleetRouter::HandleMetrics(std::shared_ptr<Http1Exchange> exchange) {
+  const HttpHeaders headers = {{"Content-Type", "text/plain"}};
+  const HttpRequest& request = exchange->request();
+  if (request.Path() != PlacementQuestion::kPath)
+    return exchange->Respond(200, "OK", headers, metrics_.Render());
+  auto question = DecodeQuestion(request);
+  if (!question) {
+    return exchange->Respond(400, "Bad Request", headers,
+                             question.error().message + "\n");
+  }
+  question.value().fields.key =
+      platform::DecodeCallerFields(request.headers).key;
+  ++state_.counters.explanations;
+  PlacementExplanation explanation =
+      ExplainPlacement(&state_, question.value());
+  exchange->Respond(200, "OK", headers, RenderExplanation(explanation));
+}
+
 void FleetRouter::ApplyChange(const DeploymentChange& change) {
   MonotonicTime now = state_.Now();
   if (const auto* config = std::get_if<FleetConfig>(&change)) {
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -59,6 +59,8 @@
   const CrashCorrelator& crash_correlator() const {
     return state_.crash_correlator;
   }
+  /// Address of the metrics, and of questions about placements.
+  Endpoint metrics_endpoint() const { return MetricsEndpoint(state_.settings); }
   bool IsReady() const;
 
  private:
@@ -69,6 +71,8 @@
   void AddConnectionMetrics();
   void HandleRequest(std::shared_ptr<Http1Exchange> exchange);
   void HandleReadiness(std::shared_ptr<Http1Exchange> exchange);
+  // Serves the metrics endpoint.
+  void HandleMetrics(std::shared_ptr<Http1Exchange> exchange);
   void ApplyChange(const DeploymentChange& change);
   void ApplyConfig(const FleetConfig& config);
   void OnSynced(BootTime requested_at);
--- a/Source/Core/Router/fleet_router_metrics.cc
+++ b/Source/Core/Router/fleet_router_metrics.cc
@@ -51,6 +51,8 @@
       {"prompt_parts_refused_total",
        "Requests refused because a part of their prompt crashes upstreams",
        &FleetCounters::prompt_parts_refused},
+      {"explanations_total", "Placements explained to operators",
+       &FleetCounters::explanations},
   };
   for (const Row& row : kRows) {
     metrics_.AddCounter(
--- a/Source/Core/Router/fleet_state.h
+++ b/Source/Core/Router/fleet_state.h
@@ -51,6 +51,7 @@
   uint64_t rests_asked = 0;  ///< Refusals by which an upstream asks for rest.
   uint64_t prompt_part_tests = 0;
   uint64_t prompt_parts_refused = 0;
+  uint64_t explanations = 0;  ///< Questions about placements.
   /// Upstreams that were left out of a choice, by the reason.
   std::array<uint64_t, kExclusionReasons> exclusions{};
 };
