Add the command explain

Cause: the explanation of a placement is only reachable over HTTP.

Change: primrosecove explain asks a router and prints its explanation. The caller's key is read from a file, so that it is in no list of processes. A refused question or an unreachable router exits with 1.

--- a/Source/Primrosecove/operator_commands.cc
+++ b/Source/Primrosecove/operator_commands.cc
@@ -9,6 +9,7 @@
 #include "Core/Config/parser.h"
 #include "Core/Operator/config_apply.h"
 #include "Core/Operator/config_files.h"
+#include "Core/Operator/explanation_client.h"
 #include "Core/Operator/process_status.h"
 #include "Core/Platform/etcd_store.h"
 #include "Primrosecove/command_line.h"
@@ -183,6 +184,60 @@
   return kExitOk;
 }
 
+struct ExplainOptions {
+  Endpoint router;
+  PlacementQuestion question;
+  std::string key_file;
+  uint64_t deadline_ms = 0;
+  uint64_t prompt_tokens = 0;
+  uint64_t output_tokens = 0;
+};
+
+int Explain(const ExplainOptions& options) {
+  PlacementQuestion question = options.question;
+  CallerFields& fields = question.fields;
+  if (!options.key_file.empty()) {
+    auto key = ReadCallerKey(options.key_file);
+    if (!key) return PrintError(key.error());
+    fields.key = key.value();
+  }
+  if (options.deadline_ms > 0)
+    fields.deadline = Milliseconds(options.deadline_ms);
+  fields.prompt_tokens = static_cast<int64_t>(options.prompt_tokens);
+  fields.max_output_tokens = static_cast<int64_t>(options.output_tokens);
+  auto explanation = FetchExplanation(options.router, question);
+  if (!explanation) return PrintError(explanation.error());
+  std::cout << explanation.value();
+  return kExitOk;
+}
+
+void AddExplainCommand(CLI::App* parent, std::function<int()>* run) {
+  constexpr uint64_t kMaxNumber = UINT32_MAX;
+  CLI::App* app = parent->add_subcommand(
+      "explain",
+      "Print where a fleet router would send a request now, and why");
+  auto options = std::make_shared<ExplainOptions>();
+  PlacementQuestion* question = &options->question;
+  AddEndpoint(app, "--router", &options->router,
+              "Metrics address of the router")
+      ->required();
+  AddSetting(app, "--host", &question->host, "Host of the request")->required();
+  AddSetting(app, "--path", &question->target, "Path of the request")
+      ->required();
+  AddSetting(app, "--api-key-file", &options->key_file,
+             "File with the caller's API key; without it the request has none");
+  AddSetting(app, "--model", &question->fields.model, "Model of the request");
+  AddSetting(app, "--request-id", &question->fields.request_id,
+             "Id of the request, which decides the service of a split route");
+  AddNumber(app, "--deadline-ms", &options->deadline_ms, 0, kMaxNumber,
+            "How long the caller waits, milliseconds; 0: not stated");
+  AddNumber(app, "--prompt-tokens", &options->prompt_tokens, 0, kMaxNumber,
+            "Tokens of the prompt");
+  AddNumber(app, "--output-tokens", &options->output_tokens, 0, kMaxNumber,
+            "Tokens of the response at most");
+  app->callback([=] { *run = [=] { return Explain(*options); }; });
+}
+
 }  // namespace
 
 void AddOperatorCommands(CLI::App* app, std::function<int()>* run) {
@@ -228,6 +283,7 @@
       ->required();
   report->add_flag("--json", process->json, "Print JSON");
   report->callback([=] { *run = [=] { return BurnReport(*process); }; });
+  AddExplainCommand(app, run);
 }
 
 }  // namespace primrosecove
--- a/Source/Primrosecove/operator_commands.h
+++ b/Source/Primrosecove/operator_commands.h
@@ -1,4 +1,4 @@
-// Operators' subcommands: config, status and report.
+// Operators' subcommands: config, status, report and explain.
 #pragma once
 
 #include <CLI/CLI.hpp>
--- a/Tests/fleet_process_test.py
+++ b/Tests/fleet_process_test.py
@@ -112,6 +112,38 @@
         it.wait_for("the reload", lambda: "event=reload name=again" in it.read_output())
         self.assertEqual(fetch(f"http://{it.ip}:18002/readyz")[0], 503)
 
+    def explain(self, ip, path):
+        key_file = pathlib.Path(self.folder.name) / "key"
+        key_file.write_text("secret-key\n")
+        return subprocess.run(
+            [PROGRAM, "explain", "--router", f"{ip}:18701", "--host", "h.example", "--path", path,
+             "--api-key-file", key_file], capture_output=True, text=True, timeout=30, check=False)
+
+    def test_explain_prints_the_decision_without_the_key(self):
+        it = self.start("fleet-router", "127.77.230.5")
+        it.wait_for("metrics", lambda: fetch(f"http://{it.ip}:18701/metrics")[0] == 200)
+        result = self.explain(it.ip, "/x/")
+        self.assertEqual(result.returncode, 0, result.stderr)
+        self.assertIn('refused status=503 why="no configuration yet"', result.stdout)
+        self.assertNotIn("secret-key", result.stdout + result.stderr)
+        # Lines are written to the output after at most 0.2 s.
+        it.process.send_signal(signal.SIGTERM)
+        self.assertEqual(it.process.wait(timeout=8), 0)
+        self.assertNotIn("secret-key", it.read_output())
+
+    def test_explain_fails_with_one_error_line(self):
+        it = self.start("fleet-router", "127.77.230.6")
+        it.wait_for("metrics", lambda: fetch(f"http://{it.ip}:18701/metrics")[0] == 200)
+        for ip, path, message in (
+                (it.ip, "x", "400 parameter 'path' is missing or does not begin with '/'"),
+                ("127.77.230.7", "/x/", "no response from the router")):
+            with self.subTest(message):
+                result = self.explain(ip, path)
+                self.assertEqual(result.returncode, 1)
+                self.assertEqual(result.stdout, "")
+                self.assertEqual(len(result.stderr.strip().splitlines()), 1, result.stderr)
+                self.assertIn(message, result.stderr)
+
     def test_invalid_settings_exit_with_one_error_line(self):
         for text in (None, "", "node_name: a", "ip: [1"):
             with self.subTest(text):
