--- a/Source/Core/Fleet/placement_policy.cc
+++ b/Source/Core/Fleet/placement_policy.cc
@@ -62,6 +62,9 @@
  public:
   ExpectedWait(Spread spread, uint64_t seed) : spread_(spread), random_(seed) {}
 
+  std::unique_ptr<PlacementPolicy> Clone() const override {
+    return std::make_unique<ExpectedWait>(*this);
+  }
   Placement Choose(std::span<FleetUpstream* const> candidates,
                    const PlacementRequest& request,
                    MonotonicTime now) override {
@@ -277,6 +280,9 @@
 
 class LeastInFlight : public PlacementPolicy {
  public:
+  std::unique_ptr<PlacementPolicy> Clone() const override {
+    return std::make_unique<LeastInFlight>(*this);
+  }
   Placement Choose(std::span<FleetUpstream* const> candidates,
                    const PlacementRequest&, MonotonicTime now) override {
     Placement out;
@@ -294,6 +300,9 @@
 
 class RoundRobin : public PlacementPolicy {
  public:
+  std::unique_ptr<PlacementPolicy> Clone() const override {
+    return std::make_unique<RoundRobin>(*this);
+  }
   Placement Choose(std::span<FleetUpstream* const> candidates,
                    const PlacementRequest&, MonotonicTime now) override {
     Placement out;
@@ -316,8 +325,8 @@
 std::unique_ptr<PlacementPolicy> MakePlacementPolicy(std::string_view name,
                                                      uint64_t seed) {
   constexpr std::pair<std::string_view, Spread> kSpreads[] = {
-      {"expected-wait", Spread::kWaterFilling},
-      {"least-expected-wait", Spread::kLeast},
+      {"expected-wait", Spread::kLeast},
+      {"even-load", Spread::kWaterFilling},
       {"two-random", Spread::kTwoRandom},
       {"free-slots", Spread::kFreeSlots}};
   for (const auto& [spread_name, spread] : kSpreads) {
--- a/Source/Core/Fleet/placement_policy.h
+++ b/Source/Core/Fleet/placement_policy.h
@@ -31,16 +31,19 @@
   virtual Placement Choose(std::span<FleetUpstream* const> candidates,
                            const PlacementRequest& request,
                            MonotonicTime now) = 0;
+  /// Returns a policy with the same state, whose choices don't change those of
+  /// this one.
+  virtual std::unique_ptr<PlacementPolicy> Clone() const = 0;
 };
 
 /// Creates a policy. Returns null for an unknown name.
 /// - "expected-wait" chooses the least expected wait and refuses requests that
-///   would miss their target. Where several routers use the upstreams, it
+///   would miss their target.
+/// - "even-load" does so too, but where several routers use the upstreams, it
 ///   spreads requests by what the others have sent since the last reports.
-/// - "least-expected-wait" always chooses the least expected wait, "two-random"
-///   the better one of two random upstreams, and "free-slots" draws in
-///   proportion to the free slots; they admit requests as the first does, and
-///   are for comparison.
+/// - "two-random" chooses the better one of two random upstreams, and
+///   "free-slots" draws in proportion to the free slots; they admit requests as
+///   the first does, and are for comparison.
 /// - "least-in-flight" and "round-robin" are baselines with a queue of fixed
 ///   length.
 /// `seed` is that of the random choices.
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -74,6 +74,8 @@
   /// Returns how many times as long as usual work takes on its host at this
   /// moment, at least 1.
   double Slowdown(MonotonicTime now) const;
+  /// Returns whether its responses have ever stated how slow its host is.
+  bool StatesSlowdown() const { return slowdown_stated_at.count() >= 0; }
   /// Returns whether at least half of its slots are free, by its expected load.
   bool IsHalfIdle(MonotonicTime now) const {
     return 2 * ExpectedLoad(now) <= record.slots;
@@ -170,6 +172,10 @@
   /// Returns the number of responses that stated an unusable load.
   uint64_t malformed_loads() const { return malformed_loads_; }
 
+  /// Returns why an upstream accepts no new requests at `now`, or null if it
+  /// accepts them.
+  static const char* WhyNotAccepting(const FleetUpstream& upstream,
+                                     MonotonicTime now);
   /// Returns the upstreams of a service that accept new requests at `now`, also
   /// those whose requests fail and those that are silent.
   std::vector<FleetUpstream*> Accepting(const std::string& service,
--- a/Source/Core/Router/fleet_state.h
+++ b/Source/Core/Router/fleet_state.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <unordered_map>
 
@@ -51,6 +52,7 @@
   uint64_t rests_asked = 0;  ///< Refusals by which an upstream asks for rest.
   uint64_t prompt_part_tests = 0;
   uint64_t prompt_parts_refused = 0;
+  uint64_t explanations = 0;  ///< Questions about placements.
   /// Upstreams that were left out of a choice, by the reason.
   std::array<uint64_t, kExclusionReasons> exclusions{};
 };
@@ -73,6 +75,9 @@
   CrashCorrelator crash_correlator;
   MinimumVersion minimum_versions{Milliseconds(0)};
   std::unique_ptr<PlacementPolicy> policy;
+  /// Used instead of `policy` for services whose upstreams state how slow their
+  /// hosts are; null with a placement other than the default.
+  std::unique_ptr<PlacementPolicy> even_load_policy;
   CallerWaitEstimator wait_estimator;
   /// Of the services whose requests have several priorities.
   std::map<std::string, PriorityDemand> priority_demands;
@@ -92,6 +97,8 @@
   /// New requests are refused; the process exits soon.
   bool closing = false;
 
+  /// Returns the policy that chooses among candidates.
+  PlacementPolicy* PolicyFor(std::span<FleetUpstream* const> candidates) const;
   /// Returns the time since this process's start.
   MonotonicTime Now() const {
     return std::chrono::duration_cast<MonotonicTime>(EventLoop::Now() -
--- a/Source/UnitTests/Fleet/load_spreading_test.cc
+++ b/Source/UnitTests/Fleet/load_spreading_test.cc
@@ -111,7 +111,7 @@
     now_ = MonotonicTime(10'000);
     for (int r = 0; r < routers; ++r) {
       auto seed = static_cast<uint64_t>(r) + 1;
-      policies_.push_back(MakePlacementPolicy("expected-wait", seed));
+      policies_.push_back(MakePlacementPolicy("even-load", seed));
       std::vector<FleetUpstream> upstreams;
       for (int load : loads) {
         FleetUpstream it;
