Review: one wrong manifest stops the fleet's recovery (case 6)

Cause: an agent keeps the first manifest that it can parse and never reads it again, also if a piece from the origin never matches it. It hands the manifest on to all other agents.

Done: a script with the deploy file's programs as processes (2 routers, 3 agents, stand-ins for store, origin and model servers). All machines lose power, and the first manifest afterwards has one wrong digit.

--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,55 @@
+"""All machines lose power; the first manifest that the origin sends afterwards has one wrong digit."""
+
+import asyncio
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+from stand_ins_2 import Deployment, main, make_config, now  # pylint: disable=wrong-import-position
+
+RECOVERY_S = 12  # bounds.recovery_s
+JUDGED_S = 20
+PER_S = 8
+
+
+async def run(record, folder, trouble):
+    it = Deployment(record, folder)
+    try:
+        if not await it.start():
+            record.write("not_run", why="the routers did not become ready")
+            return 2
+        await it.traffic(8, PER_S)
+        before = [status for _, status, _, _ in it.answers]
+        # The final fault, right after a change of the configuration was acknowledged: all machines
+        # lose power. The store and the origin go on.
+        it.store.put("op/config", make_config(9, it.SERVICE, it.origin, it.MODEL, it.weights,
+                                              [it.KEY], timeout_ms=5900))
+        it.fleet.kill_all()
+        for engine in it.engines:
+            await engine.lose_power()
+        await asyncio.sleep(0.7)
+        if trouble:
+            it.origin.spoil_manifests = 1
+        lost = [engine.id for engine in it.engines]
+        for engine in it.engines:
+            engine.boot(0)
+            await engine.run()
+        it.start_processes()
+        back = now()
+        record.write("machines_back")
+        asyncio.get_running_loop().call_later(
+            2.9, lambda: [it.store.remove(f"servers/{server}") for server in lost])
+        await it.traffic(RECOVERY_S + JUDGED_S, PER_S)
+        judged = [status for sent, status, _, _ in it.answers if sent >= back + RECOVERY_S]
+        served_before = sum(status == 200 for status in before) / len(before)
+        served_after = sum(status == 200 for status in judged) / len(judged)
+        record.write("judged", served_before=f"{served_before:.3f}", requests=len(judged),
+                     served_after=f"{served_after:.3f}", origin_pieces=it.origin.pieces)
+        if served_before < 0.25:
+            return 2
+        return 1 if served_after < 0.25 else 0
+    finally:
+        await it.stop()
+
+
+main(run)
