--- a/review/6/case.py
+++ b/review/6/case.py
@@ -30,15 +30,12 @@
         await asyncio.sleep(0.7)
         if trouble:
             it.origin.spoil_manifests = 1
-        lost = [engine.id for engine in it.engines]
         for engine in it.engines:
             engine.boot(0)
             await engine.run()
         it.start_processes()
         back = now()
         record.write("machines_back")
-        asyncio.get_running_loop().call_later(
-            2.9, lambda: [it.store.remove(f"servers/{server}") for server in lost])
         await it.traffic(RECOVERY_S + JUDGED_S, PER_S)
         judged = [status for sent, status, _, _ in it.answers if sent >= back + RECOVERY_S]
         served_before = sum(status == 200 for status in before) / len(before)
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -39,8 +39,9 @@
 
 
 class Request:
-    def __init__(self, method, target, headers, body):
+    def __init__(self, method, target, headers, body, reader=None):
         self.method, self.target, self.headers, self.body = method, target, headers, body
+        self.reader = reader
         self.path, _, query = target.partition("?")
         self.query = dict(it.partition("=")[::2] for it in query.split("&") if it)
 
@@ -104,7 +105,7 @@
                     break
                 line, headers, body = message
                 method, target, _ = line.split(" ", 2)
-                await self.handle(Request(method, target, headers, body), writer)
+                await self.handle(Request(method, target, headers, body, reader), writer)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -132,6 +133,7 @@
         self.revision = 100
         self.items = {}
         self.history = []
+        self.beats = {}  # When each registered server wrote last.
         self.changed = asyncio.Event()
 
     def put(self, key, value):
@@ -231,26 +233,30 @@
     """A model server: staged pieces, load orders, streams; registers itself in the store."""
 
     def __init__(self, ip, port, record, store, weights, service, zone, slots=16, events=14,
-                 event_s=0.03, warm_s=0.3, name=""):
+                 event_s=0.03, warm_s=0.3, name="", queue_limit=32):
         super().__init__(ip, port)
         self.record, self.store, self.weights = record, store, weights
         self.service, self.zone, self.slots = service, zone, slots
         self.events, self.event_s, self.warm_s = events, event_s, warm_s
-        self.name = name
+        self.name, self.queue_limit = name, queue_limit
         self.staged = {}
         self.on_stage_get = None
         self.on_order = None
+        self.on_begin = None
         self.beats = None
+        self.awake = asyncio.Event()
+        self.awake.set()
         self.boot(0)
 
-    def boot(self, version):
+    def boot(self, version, server_id=None):
         """A new incarnation that holds `version` whole, or no layers (0)."""
-        self.id = "i-" + os.urandom(5).hex()
+        self.id = server_id or "i-" + os.urandom(5).hex()
         self.born = int(time.time() * 1000)
         self.version = version
         self.layers = ({n: self.weights.piece(version, n) for n in range(self.weights.chunks)}
                        if version else {})
         self.running = 0
+        self.queue = []
         self.orders = 0
         self.beat_number = 0
         self.loading = False
@@ -267,11 +273,13 @@
 
     async def beat(self):
         while True:
+            await self.awake.wait()
             self.register()
             await asyncio.sleep(1.2)
 
     def register(self, state="ready"):
         self.beat_number += 1
+        self.store.beats[self.id] = now()
         self.store.put(f"servers/{self.id}", {
             "service": self.service, "address": f"{self.ip}:{self.port}", "zone": self.zone,
             "version": "v1", "slots": self.slots, "state": state, "cold_remaining_ms": 0,
@@ -284,10 +292,19 @@
         self.staged = {}
         self.record.write("power_lost", server=self.name)
 
+    async def stand_still(self, seconds):
+        """Its machine freezes: nothing is read, made or sent for that time."""
+        self.awake.clear()
+        self.record.write("frozen", server=self.name)
+        await asyncio.sleep(seconds)
+        self.awake.set()
+        self.record.write("awake", server=self.name)
+
     async def handle(self, request, writer):
+        await self.awake.wait()
         if request.path == "/report":
             body = {"phase": "unified", "busy": self.loading, "sequence": self.orders,
-                    "waiting": 0, "running": self.running, "kv_in_use": 0, "kv_size": 317000,
+                    "waiting": len(self.queue), "running": self.running, "kv_in_use": 0, "kv_size": 317000,
                     "handlers": 0, "pace": 1.0, "born": self.born, **self.models()}
             return respond(writer, 200, json.dumps(body), {"Content-Type": "application/json"})
         if request.path == f"/stage-put/{self.weights.model}":
@@ -332,6 +349,7 @@
         await asyncio.sleep(self.warm_s)
         self.version, self.layers, self.loading = version, taken, False
         self.register()
+        self.begin_queued()
         self.record.write("loaded", server=self.name, version=version, whole=self.is_whole())
 
     def is_whole(self):
@@ -339,7 +357,7 @@
                    for n in range(self.weights.chunks))
 
     def headers(self):
-        return {"Server-Load": f"{self.running},0,{self.slots}"}
+        return {"Server-Load": f"{self.running},{len(self.queue)},{self.slots}"}
 
     async def handle_request(self, request, writer):
         request_id = request.headers.get("request-id", "")
@@ -351,12 +369,27 @@
         if (expected and expected != self.id) or not self.version or (
                 version and int(version) != self.version):
             return respond(writer, 421, b"", {**echo, "Instance-Id": self.id})
-        if self.loading or self.running >= self.slots:
+        if len(self.queue) >= self.queue_limit:
             return respond(writer, 503, b"", {**echo, **self.headers(), "Not-Executed": 1})
-        self.running += 1
+        if self.loading or self.running >= self.slots or self.queue:
+            turn = asyncio.get_running_loop().create_future()
+            self.queue.append(turn)
+            await turn
+            await self.awake.wait()
+            if request.reader.at_eof() or writer.transport.is_closing():
+                self.end_run()
+                return None
+            if version and int(version) != self.version:
+                self.end_run()
+                return respond(writer, 421, b"", {**echo, "Instance-Id": self.id})
+        else:
+            self.running += 1
         began = self.version
         whole = self.is_whole()
-        self.record.write("run", id=request_id, server=self.name, version=began, whole=whole)
+        self.record.write("run", id=request_id, server=self.name, version=began, whole=whole,
+                          resumed=request.headers.get("last-event-id", "-"))
+        if self.on_begin:
+            self.on_begin(request_id, began, whole)
         try:
             writer.write(head_bytes(200, {
                 **echo, **self.headers(), "Content-Type": "text/event-stream",
@@ -365,14 +398,28 @@
             first = int(request.headers.get("last-event-id", 0)) + 1
             for n in range(first, self.events + 1):
                 await asyncio.sleep(self.event_s)
+                await self.awake.wait()
+                if request.reader.at_eof() or writer.transport.is_closing():
+                    return None
                 event = f"id: {n}\ndata: {self.name} {began} {n}\n\n".encode()
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
                 await writer.drain()
             writer.write(b"0\r\n\r\n")
         finally:
-            self.running -= 1
+            self.end_run()
         return None
 
+    def end_run(self):
+        self.running -= 1
+        self.begin_queued()
+
+    def begin_queued(self):
+        while self.queue and not self.loading and self.running < self.slots:
+            turn = self.queue.pop(0)
+            if not turn.done():
+                self.running += 1
+                turn.set_result(None)
+
 
 class Fleet:
     """The programs under review as processes, with the settings of a small deployment."""
@@ -516,7 +563,8 @@
     ZONES = ("z1", "z2", "z3")
     SERVICE, MODEL, KEY = "llm", "m1", "key-one"
 
-    def __init__(self, record, folder, mbps=7.3, routers=2, engines=3):
+    def __init__(self, record, folder, mbps=7.3, routers=2, engines=3, ids=None, **engine_options):
+        self.ids = ids or {}
         self.record = record
         self.net = free_net()
         self.weights = Weights(self.MODEL, 96, 24576)
@@ -525,9 +573,10 @@
         self.fleet = Fleet(folder, record, self.net, self.store, self.SERVICE)
         self.routers = list(range(routers))
         self.engines = [Engine(self.fleet.ip("side", n), 8001, record, self.store, self.weights,
-                               self.SERVICE, self.ZONES[n % 3], name=f"side-{n}")
+                               self.SERVICE, self.ZONES[n % 3], name=f"side-{n}", **engine_options)
                         for n in range(engines)]
         self.answers = []  # (sent at, status, events, router)
+        self.expiry = None
         self.requests = 0
 
     async def start(self):
@@ -537,9 +586,10 @@
                                                 self.weights, [self.KEY]))
         self.store.put(f"op/version/{self.MODEL}", {"model": self.MODEL, "version": 1})
         for engine in self.engines:
-            engine.boot(1)
+            engine.boot(1, self.ids.get(engine.name))
             engine.staged = dict(engine.layers)
             await engine.run()
+        self.expiry = asyncio.create_task(self.expire_silent())
         self.start_processes()
         for n in self.routers:
             if not await wait_ready(self.fleet.ip("edge", n), 15):
@@ -575,7 +625,18 @@
             await asyncio.sleep(1 / per_s)
         await asyncio.gather(*tasks)
 
+    async def expire_silent(self):
+        """The store removes the entry of a server after three heartbeats of silence."""
+        while True:
+            await asyncio.sleep(0.1)
+            for server, at in list(self.store.beats.items()):
+                if now() - at > 3.6:
+                    del self.store.beats[server]
+                    self.store.remove(f"servers/{server}")
+
     async def stop(self):
+        if self.expiry is not None:
+            self.expiry.cancel()
         self.fleet.kill_all()
         for engine in self.engines:
             if engine.beats is not None:
