--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -421,6 +421,58 @@
                 turn.set_result(None)
 
 
+class Plain(HttpServer):
+    """A server of a plain service: slots, a short queue, a fixed time of work."""
+
+    def __init__(self, ip, port, record, store, service, zone, name, slots=6, work_s=0.03):
+        super().__init__(ip, port)
+        self.record, self.store, self.service, self.zone = record, store, service, zone
+        self.name, self.slots, self.work_s = name, slots, work_s
+        self.id = "p-" + os.urandom(5).hex()
+        self.born = int(time.time() * 1000)
+        self.beat_number = 0
+        self.turns = asyncio.Semaphore(slots)
+        self.waiting = 0
+        self.ran = set()  # Ids of the requests that it began to work on.
+        self.beats = None
+
+    async def run(self):
+        await self.start()
+        self.beats = asyncio.create_task(self.beat())
+
+    async def beat(self):
+        while True:
+            self.beat_number += 1
+            self.store.beats[self.id] = now()
+            self.store.put(f"servers/{self.id}", {
+                "service": self.service, "address": f"{self.ip}:{self.port}", "zone": self.zone,
+                "version": "v1", "slots": self.slots, "state": "ready", "cold_remaining_ms": 0,
+                "born": self.born, "sequence": self.beat_number})
+            await asyncio.sleep(1.2)
+
+    async def handle(self, request, writer):
+        request_id = request.headers.get("request-id", "")
+        echo = {"Request-Id": request_id}
+        if request.path == "/healthz":
+            return respond(writer, 200, b"", {"Instance-Id": self.id})
+        if request.headers.get("expect-instance", self.id) != self.id:
+            return respond(writer, 421, b"", {**echo, "Instance-Id": self.id})
+        if self.waiting >= 24:
+            return respond(writer, 503, b"", {**echo, "Not-Executed": 1})
+        self.waiting += 1
+        await self.turns.acquire()
+        self.waiting -= 1
+        try:
+            if request.reader.at_eof() or writer.transport.is_closing():
+                return None
+            self.ran.add(request_id)
+            await asyncio.sleep(self.work_s)
+            return respond(writer, 200, b"r" * 800,
+                           {**echo, "Server-Signature": f"{self.name}.{request_id[:6]}"})
+        finally:
+            self.turns.release()
+
+
 class Fleet:
     """The programs under review as processes, with the settings of a small deployment."""
 
@@ -539,7 +591,11 @@
         "routes": [{"name": "r-1", "host": "a.example", "prefix": "/s/", "route_type": "streaming",
                     "timeout_ms": timeout_ms, "latency_target_ms": 500, "priority": 1,
                     "service": service, "max_attempts": 2, "public": False, "sticky": True,
-                    "resumable": True, "itl_target_ms": 400}],
+                    "resumable": True, "itl_target_ms": 400},
+                   {"name": "r-2", "host": "b.example", "prefix": "/u/", "route_type": "unsafe",
+                    "timeout_ms": 3000, "latency_target_ms": 300, "priority": 1,
+                    "service": "sync", "max_attempts": 2, "public": False, "sticky": False,
+                    "resumable": False}],
         "services": [
             {"name": service, "health_path": "/healthz", "max_conns": 264, "protocol": "h1",
              "tls": False, "runtime": {
@@ -550,7 +606,9 @@
                  "usual": {"prompt": 979, "answer": 92}, "layers": 16, "layer_mb": 4090.0,
                  "chunks": weights.chunks, "chunk_bytes": weights.chunk_bytes}},
             {"name": "apps", "origin": f"{origin.ip}:{origin.port}", "zone": "z1",
-             "link_mbps": 7.3, "max_conns": 48}],
+             "link_mbps": 7.3, "max_conns": 48},
+            {"name": "sync", "health_path": "/healthz", "max_conns": 96, "protocol": "h1",
+             "tls": False}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         "tenants": [{"name": "t-1", "api_keys": keys, "priority": 1}],
