--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -145,6 +145,17 @@
         self.note(item)
         return self.revision
 
+    def beat(self, server, entry):
+        """A server's heartbeat: its entry changes when more than `sequence` changes."""
+        self.beats[server] = now()
+        key = f"servers/{server}"
+        old = self.items.get(key)
+        if old is not None:
+            known = json.loads(base64.b64decode(old["value"]))
+            if {**known, "sequence": 0} == {**entry, "sequence": 0}:
+                return
+        self.put(key, entry)
+
     def remove(self, key):
         if self.items.pop(key, None) is None:
             return
@@ -279,8 +290,7 @@
 
     def register(self, state="ready"):
         self.beat_number += 1
-        self.store.beats[self.id] = now()
-        self.store.put(f"servers/{self.id}", {
+        self.store.beat(self.id, {
             "service": self.service, "address": f"{self.ip}:{self.port}", "zone": self.zone,
             "version": "v1", "slots": self.slots, "state": state, "cold_remaining_ms": 0,
             "phase": "unified", "born": self.born, "sequence": self.beat_number, **self.models()})
@@ -443,8 +453,7 @@
     async def beat(self):
         while True:
             self.beat_number += 1
-            self.store.beats[self.id] = now()
-            self.store.put(f"servers/{self.id}", {
+            self.store.beat(self.id, {
                 "service": self.service, "address": f"{self.ip}:{self.port}", "zone": self.zone,
                 "version": "v1", "slots": self.slots, "state": "ready", "cold_remaining_ms": 0,
                 "born": self.born, "sequence": self.beat_number})
