Review: a router with a backlog accepts a key that was taken away (case 7)

Cause: each answer of a watch counts as the state of the store at the time of the request, also if it ends before the newest change. The router confirms its configuration by it, and accepts keys that a later part of the backlog takes away.

--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -124,9 +124,28 @@
         self.reset_all()
 
 
+class StoreAddress(HttpServer):
+    """One more address of the store: it can turn its callers away, and its link has a width."""
+
+    def __init__(self, ip, port, store, mbps):
+        super().__init__(ip, port)
+        self.store, self.mbps = store, mbps
+        self.busy = False
+
+    async def handle(self, request, writer):
+        if self.busy:
+            return respond(writer, 503)
+        await self.store.handle(request, writer, self.mbps)
+        return None
+
+
 class Store(HttpServer):
     """The platform's store: items, one revision, ranges and watches."""
 
+    # As the bench's store does: an answer to a watch ends after the event with which it exceeds
+    # this, and `as_of` is the revision of that event.
+    WATCH_BYTES = 1 << 20
+
     def __init__(self, ip, port, record):
         super().__init__(ip, port)
         self.record = record
@@ -167,7 +186,7 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def handle(self, request, writer):
+    async def handle(self, request, writer, mbps=1000):
         await asyncio.sleep(0.004)
         prefix = request.query.get("prefix", "").replace("%2F", "/")
         if request.path == "/kv-range":
@@ -189,8 +208,15 @@
                     await asyncio.wait_for(self.changed.wait(), left)
                 except asyncio.TimeoutError:
                     pass
-            body = {"events": events, "as_of": self.revision}
-            return respond(writer, 200, json.dumps(body), {"Content-Type": "application/json"})
+            as_of, size = self.revision, 0
+            for n, event in enumerate(events):
+                size += len(event.get("value", "")) + 100
+                if size > self.WATCH_BYTES and n + 1 < len(events):
+                    events, as_of = events[:n + 1], event["revision"]
+                    break
+            text = json.dumps({"events": events, "as_of": as_of})
+            await asyncio.sleep(len(text) * 8 / (mbps * 1e6))
+            return respond(writer, 200, text, {"Content-Type": "application/json"})
         return respond(writer, 404)
 
 
@@ -492,6 +518,7 @@
               "event_lag_ms: 120, retry_after_s: 0, version_ms: 8000, version_all_ms: 0}")
 
     def __init__(self, folder, record, net, store, service):
+        self.store_ips = {}  # Of the processes that use another address of the store.
         self.folder, self.record, self.net = pathlib.Path(folder), record, net
         self.store, self.service = store, service
         self.processes = {}
@@ -515,7 +542,8 @@
                 f'bounds: {self.BOUNDS}\n')
         if kind == "side":
             text += f'app: "{ip}:8001"\nservice: "{self.service}"\n'
-        text += (f'platform: {{address: "{self.store.ip}:{self.store.port}", form: "kv", '
+        store_ip = self.store_ips.get(name, self.store.ip)
+        text += (f'platform: {{address: "{store_ip}:{self.store.port}", form: "kv", '
                  f'writes_per_s: 400, reads_per_s: 2000, history_s: 20, value_bytes: 1048576, '
                  f'ttl_min_ms: 1000}}\n')
         path = self.folder / f"{name}.yaml"
