--- a/review/7/case.py
+++ b/review/7/case.py
@@ -28,7 +28,7 @@
 
 
 async def run(record, folder, trouble):
-    it = Deployment(record, folder)
+    it = Deployment(record, folder, routers=3)
     far = StoreAddress(f"{it.net}.3", 8007, it.store, REGION_MBPS)
     it.fleet.store_ips["edge-1"] = far.ip
     sent = {}  # When each request with the key that is taken away was sent.
