--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -741,12 +741,14 @@
         await self.store.stop()
 
 
-def main(run):
-    """Runs `run(record, folder, trouble)` in a temporary folder; it returns the exit code."""
+def main(run, default_record):
+    """Runs `run(record, folder, trouble)` in a temporary folder; it returns the exit code.
+
+    The record goes to the file that the command line names, or to `default_record`.
+    """
     import sys
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    folder = pathlib.Path(sys.argv[1]).resolve()
-    record = Record(folder / "record.txt")
+    record = Record(sys.argv[1] if len(sys.argv) > 1 else default_record)
     if not PROGRAM.exists():
         record.write("not_run", why="target/primrosecove is missing")
         sys.exit(2)
