Bound the bytes around a message's data

A server could send blanks, line ends, digits of a chunk size or a chunk extension for 16 MiB before its client gave up, because the parser's callbacks don't see these bytes and only the library's own limit bounds them. They were read and dropped: the memory did not grow.

The parser now counts the bytes since the last data of a body and fails beyond the limit on a head and 64 KiB.

Test: 'a response without end is cut off, in its head or its body', nine new rows.

--- a/Source/Core/Net/http1_parser.cc
+++ b/Source/Core/Net/http1_parser.cc
@@ -6,8 +6,11 @@
 namespace primrosecove {
 namespace {
 
-// Bounds the white space and line ends of a head, which callbacks don't see.
+// The library's limit on a head, above every limit of a connection.
 constexpr uint32_t kMaxLibraryHeadBytes = 16 << 20;
+// Bounds white space, line ends, chunk sizes and chunk extensions, which
+// callbacks don't see.
+constexpr size_t kMaxFramingBytes = 64 << 10;
 
 Http1Parser* Self(http_parser* parser) {
   return static_cast<Http1Parser*>(parser->data);
@@ -60,13 +63,17 @@
 size_t Http1Parser::Parse(std::string_view bytes) {
   if (failed_) return 0;
   complete_ = false;
+  has_body_data_ = false;
   size_t n =
       http_parser_execute(&parser_, &Settings(), bytes.data(), bytes.size());
   if (complete_) {
+    bytes_without_body_ = 0;
     http_parser_pause(&parser_, 0);
     return n;
   }
-  if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade != 0) {
+  bytes_without_body_ = has_body_data_ ? 0 : bytes_without_body_ + n;
+  if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade != 0 ||
+      bytes_without_body_ > max_head_bytes_ + kMaxFramingBytes) {
     failed_ = true;
   }
   return n;
@@ -146,6 +153,7 @@
 }
 
 int Http1Parser::OnBody(http_parser* parser, const char* at, size_t n) {
+  Self(parser)->has_body_data_ = true;
   if (Self(parser)->events_.on_body) Self(parser)->events_.on_body({at, n});
   return 0;
 }
--- a/Source/Core/Net/http1_parser.h
+++ b/Source/Core/Net/http1_parser.h
@@ -56,8 +56,8 @@
   size_t Parse(std::string_view bytes);
   /// Signals the end of the connection, which completes a close-delimited body.
   void ParseEnd();
-  /// Returns whether the bytes were not a valid message or the head exceeded
-  /// its limit.
+  /// Returns whether the bytes were not a valid message, the head exceeded its
+  /// limit, or there were too many bytes around the body's data.
   bool failed() const { return failed_; }
   bool head_too_large() const { return head_too_large_; }
   /// Returns whether a message has begun and is incomplete.
@@ -84,6 +84,8 @@
   std::string field_;
   std::string value_;
   size_t head_bytes_ = 0;
+  size_t bytes_without_body_ = 0;  // Parsed since the last data of a body.
+  bool has_body_data_ = false;     // In the current call of Parse.
   bool has_value_ = false;
   bool in_message_ = false;
   bool complete_ = false;
--- a/Source/UnitTests/Net/http1_test.cc
+++ b/Source/UnitTests/Net/http1_test.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr uint64_t kMaxBodyBytes = 1 << 20;
+// Sent by a server without end before its client closes; many are in the
+// buffers of the sockets.
+constexpr size_t kMaxRepeatedBytes = 8 << 20;
 
 CallResult SendRequest(EventLoop* loop, Http1Client* client,
                        const Endpoint& endpoint, const std::string& id) {
@@ -124,12 +127,16 @@
     CallEnd end;
   };
   const std::string ok_line = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok_line + "Transfer-Encoding: chunked\r\n\r\n";
   const std::string block(64 << 10, 'x');
+  const std::string blanks(64 << 10, ' ');
+  const std::string zeros(64 << 10, '0');
+  const std::string empty_lines(64 << 10, '\n');
   const Row rows[] = {
       {"a body without length", ok_line + "\r\n", block, Milliseconds(0),
        CallEnd::kMalformed},
-      {"chunks", ok_line + "Transfer-Encoding: chunked\r\n\r\n",
-       "10000\r\n" + block + "\r\n", Milliseconds(0), CallEnd::kMalformed},
+      {"chunks", chunked, "10000\r\n" + block + "\r\n", Milliseconds(0),
+       CallEnd::kMalformed},
       {"a length beyond the limit",
        ok_line + "Content-Length: 99999999999\r\n\r\n", block, Milliseconds(0),
        CallEnd::kMalformed},
@@ -139,6 +146,24 @@
        CallEnd::kMalformed},
       {"a status line", "HTTP/1.1 200 ", block, Milliseconds(0),
        CallEnd::kMalformed},
+      {"empty lines", "", empty_lines, Milliseconds(0), CallEnd::kMalformed},
+      {"blanks before a value", ok_line + "X-Field:", blanks, Milliseconds(0),
+       CallEnd::kMalformed},
+      {"blanks after a value", ok_line + "X-Field: x", blanks, Milliseconds(0),
+       CallEnd::kMalformed},
+      {"empty header fields", ok_line, "a:\r\n", Milliseconds(0),
+       CallEnd::kMalformed},
+      {"digits of a status", "HTTP/1.1 ", zeros, Milliseconds(0),
+       CallEnd::kMalformed},
+      {"digits of a chunk size", chunked, zeros, Milliseconds(0),
+       CallEnd::kMalformed},
+      {"a chunk extension", chunked + "1;", block, Milliseconds(0),
+       CallEnd::kMalformed},
+      {"trailer fields", chunked + "0\r\n",
+       "X-Field: " + std::string(1000, 'x') + "\r\n", Milliseconds(0),
+       CallEnd::kMalformed},
+      {"blanks in a trailer field", chunked + "0\r\nX-Field:", blanks,
+       Milliseconds(0), CallEnd::kMalformed},
       {"informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n",
        Milliseconds(0), CallEnd::kTimeout},
       {"a body, slowly", ok_line + "\r\n", "x", Milliseconds(5),
@@ -156,6 +181,8 @@
     CallResult result = SendRequest(&loop, &client, TestEndpoint(95, 1), "1");
     CHECK(result.end == row.end);
     CHECK(result.body.size() <= kMaxBodyBytes);
+    if (row.end == CallEnd::kMalformed)
+      CHECK(server.repeated_bytes() <= kMaxRepeatedBytes);
   }
 }
 
