Reject responses with malformed status lines and lines of a head

Callers got responses whose status line is none: status 600 or 999 with the upstream's body, '0200', versions HTTP/0.9 and HTTP/2.0, control bytes in the reason. For statuses below 100, and for 101, they got 504 at their deadline, although it was known at once that the response was broken: the client took them for interim responses and waited for the final one. A folded value was joined without its blank, and a carriage return and any byte ended a head.

Cause: the library is built without its strict mode, so that text which it accepts need not be a message, and nothing checked it afterwards.

HeadGrammar checks the bytes of a head before the library sees them, against the grammar of RFC 9112 (sections 2 to 5) by sets of allowed bytes: the status line's form, names, values, line ends. Folded lines are rejected, which section 5.2 allows. A status must be in 100 to 599 (RFC 9110, section 15), and 101 is invalid, as the product never asks for another protocol. A major version other than 1 is malformed; later minor versions are read. The same check holds for the heads of callers' requests, apart from the start line.

Tests: 'a response with a malformed status line is not complete' and '... reaches no caller', '... malformed field line ...', 'unusual but correct responses are complete'.

--- a/Source/Core/Net/http1_parser.cc
+++ b/Source/Core/Net/http1_parser.cc
@@ -3,8 +3,6 @@
 #include <limits>
 #include <utility>
 
-#include "Core/Net/http_grammar.h"
-
 namespace primrosecove {
 namespace {
 
@@ -18,6 +16,15 @@
   return static_cast<Http1Parser*>(parser->data);
 }
 
+// Returns whether a response may have the status (RFC 9110, section 15). The
+// product never asks for another protocol, so that 101 is invalid.
+bool IsValidStatus(unsigned status) {
+  constexpr unsigned kFirst = 100;
+  constexpr unsigned kSwitchingProtocols = 101;
+  constexpr unsigned kLast = 599;
+  return status >= kFirst && status <= kLast && status != kSwitchingProtocols;
+}
+
 // Returns whether the message body ends when the connection is closed (RFC
 // 9112, section 6.3).
 bool IsCloseDelimited(const http_parser& parser) {
@@ -56,7 +63,10 @@
 }
 
 Http1Parser::Http1Parser(Kind kind, uint32_t max_head_bytes, Events events)
-    : max_head_bytes_(max_head_bytes), events_(std::move(events)) {
+    : grammar_(kind == Kind::kRequest ? HeadGrammar::Kind::kRequest
+                                      : HeadGrammar::Kind::kResponse),
+      max_head_bytes_(max_head_bytes),
+      events_(std::move(events)) {
   http_parser_init(&parser_,
                    kind == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   parser_.data = this;
@@ -64,12 +74,18 @@
 
 size_t Http1Parser::Parse(std::string_view bytes) {
   if (failed_) return 0;
+  // Nothing of a malformed head takes effect.
+  if (!grammar_.Check(bytes)) {
+    failed_ = true;
+    return 0;
+  }
   complete_ = false;
   has_body_data_ = false;
   size_t n =
       http_parser_execute(&parser_, &Settings(), bytes.data(), bytes.size());
   if (complete_) {
     bytes_without_body_ = 0;
+    grammar_.Reset();
     http_parser_pause(&parser_, 0);
     return n;
   }
@@ -124,9 +140,9 @@
 
 int Http1Parser::OnHeaderField(http_parser* parser, const char* at, size_t n) {
   Http1Parser* self = Self(parser);
-  // The library accepts blanks in a name and after it, and ignores them where
-  // it knows the field.
-  if (!HasOnlyTokenBytes({at, n})) return 1;
+  for (char it : std::string_view(at, n)) {
+    if (!IsTokenByte(it)) return 1;
+  }
   self->FinishHeader();
   self->field_.append(at, n);
   return self->CountHeadBytes(n) ? 0 : 1;
@@ -141,8 +157,11 @@
 
 int Http1Parser::OnHeadersComplete(http_parser* parser) {
   Http1Parser* self = Self(parser);
+  constexpr int kMalformed = -1;
   self->FinishHeader();
   Http1Head& head = self->head_;
+  if (parser->type == HTTP_RESPONSE && !IsValidStatus(parser->status_code))
+    return kMalformed;
   if (parser->type == HTTP_REQUEST) {
     head.method = http_method_str(static_cast<http_method>(parser->method));
   }
--- a/Source/Core/Net/http1_parser.h
+++ b/Source/Core/Net/http1_parser.h
@@ -1,4 +1,5 @@
-// A strict HTTP/1.1 parser for traffic with clients and upstreams.
+// A strict HTTP/1.1 parser for traffic with clients and upstreams: a library
+// reads the messages, and HeadGrammar rejects what it wrongly accepts.
 #pragma once
 
 #include <http_parser.h>
@@ -9,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "Core/Net/http_grammar.h"
 #include "Core/Net/http_types.h"
 
 namespace primrosecove {
@@ -78,6 +80,7 @@
   void FinishHeader();
 
   http_parser parser_;
+  HeadGrammar grammar_;
   uint32_t max_head_bytes_;
   Events events_;
   Http1Head head_;
--- a/Source/Core/Net/http_grammar.cc
+++ b/Source/Core/Net/http_grammar.cc
@@ -1,21 +1,91 @@
 #include "Core/Net/http_grammar.h"
 
-#include <algorithm>
-
 namespace primrosecove {
 namespace {
 
-bool IsTokenByte(unsigned char c) {
-  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
-  return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') ||
-         (c >= 'a' && c <= 'z') ||
-         kMarks.find(static_cast<char>(c)) != std::string_view::npos;
+bool IsDigit(char c) { return c >= '0' && c <= '9'; }
+
+bool IsLineEnd(char c) { return c == '\r' || c == '\n'; }
+
+// Returns whether `c` may be byte `n` of a status line, up to the byte after
+// the status (RFC 9112, section 4). The reason may be absent.
+bool IsStatusLineByte(size_t n, char c) {
+  constexpr std::string_view kForm = "HTTP/1.N NNN";
+  if (n == kForm.size()) return c == ' ' || IsLineEnd(c);
+  if (n > kForm.size()) return IsTextByte(c) || IsLineEnd(c);
+  return kForm[n] == 'N' ? IsDigit(c) : c == kForm[n];
 }
 
 }  // namespace
 
-bool HasOnlyTokenBytes(std::string_view text) {
-  return std::all_of(text.begin(), text.end(), IsTokenByte);
+bool IsTokenByte(char c) {
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return IsDigit(c) || (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') ||
+         kMarks.find(c) != std::string_view::npos;
+}
+
+bool IsTextByte(char c) {
+  constexpr unsigned char kDelete = 0x7f;
+  auto byte = static_cast<unsigned char>(c);
+  return c == '\t' || (byte >= ' ' && byte != kDelete);
+}
+
+void HeadGrammar::Reset() {
+  state_ = State::kStartLine;
+  start_line_bytes_ = 0;
+}
+
+bool HeadGrammar::Check(std::string_view bytes) {
+  for (char c : bytes) {
+    if (state_ == State::kEnd) return true;
+    if (!Advance(c)) return false;
+  }
+  return true;
+}
+
+void HeadGrammar::EndLine(char c, State next) {
+  state_ = c == '\n' ? next : State::kLineFeed;
+  after_line_feed_ = next;
+}
+
+bool HeadGrammar::AdvanceStartLine(char c) {
+  size_t n = start_line_bytes_++;
+  if (kind_ == Kind::kResponse && !IsStatusLineByte(n, c)) return false;
+  // A request may follow empty lines (RFC 9112, section 2.2).
+  bool is_empty = kind_ == Kind::kRequest && n == 0;
+  if (IsLineEnd(c)) {
+    start_line_bytes_ = 0;
+    EndLine(c, is_empty ? State::kStartLine : State::kFieldStart);
+  }
+  return true;
+}
+
+bool HeadGrammar::Advance(char c) {
+  switch (state_) {
+    case State::kStartLine:
+      return AdvanceStartLine(c);
+    case State::kFieldStart:
+      if (IsLineEnd(c)) {
+        EndLine(c, State::kEnd);
+        return true;
+      }
+      // A blank would continue the line before, which is obsolete (RFC 9112,
+      // section 5.2).
+      state_ = State::kName;
+      return IsTokenByte(c);
+    case State::kName:
+      if (c == ':') state_ = State::kValue;
+      return c == ':' || IsTokenByte(c);
+    case State::kValue:
+      if (IsLineEnd(c)) EndLine(c, State::kFieldStart);
+      return IsLineEnd(c) || IsTextByte(c);
+    case State::kLineFeed:
+      state_ = after_line_feed_;
+      return c == '\n';
+    case State::kEnd:
+      break;
+  }
+  return true;
 }
 
 }  // namespace primrosecove
--- a/Source/Core/Net/http_grammar.h
+++ b/Source/Core/Net/http_grammar.h
@@ -1,18 +1,44 @@
-// The grammar of the parts of HTTP/1.1 messages (RFC 9110, RFC 9112). All
-// functions are thread safe.
+// The grammar of HTTP/1.1 messages (RFC 9110, RFC 9112), for bytes that the
+// parser's library accepts although they are malformed.
 #pragma once
 
+#include <cstddef>
 #include <string_view>
 
 namespace primrosecove {
 
-/// Returns whether all bytes may be part of a token, such as the name of a
-/// field (RFC 9110, section 5.6.2). True for empty text.
-bool HasOnlyTokenBytes(std::string_view text);
+/// Returns whether `c` may be part of a token, such as the name of a field (RFC
+/// 9110, section 5.6.2). Thread safe, like the next function.
+bool IsTokenByte(char c);
+/// Returns whether `c` may be part of a field value or a reason phrase: tab,
+/// blank, a visible character or a byte over 127 (RFC 9110, section 5.5).
+bool IsTextByte(char c);
 
-/// Returns whether `text` is a token.
-inline bool IsToken(std::string_view text) {
-  return !text.empty() && HasOnlyTokenBytes(text);
-}
+/// Checks the successive bytes of a message's head. Not thread safe.
+class HeadGrammar {
+ public:
+  enum class Kind { kRequest, kResponse };
+  explicit HeadGrammar(Kind kind) : kind_(kind) {}
+
+  /// Begins with the start line of the next message.
+  void Reset();
+  /// Checks `bytes` up to the end of the head and ignores the rest. Returns
+  /// false if the head is malformed.
+  bool Check(std::string_view bytes);
+
+ private:
+  enum class State { kStartLine, kFieldStart, kName, kValue, kLineFeed, kEnd };
+
+  // Whether `c` is valid here; advances the state.
+  bool Advance(char c);
+  bool AdvanceStartLine(char c);
+  // Ends a line at a line feed, or at a carriage return before it.
+  void EndLine(char c, State next);
+
+  Kind kind_;
+  State state_ = State::kStartLine;
+  State after_line_feed_ = State::kFieldStart;
+  size_t start_line_bytes_ = 0;
+};
 
 }  // namespace primrosecove
--- a/Source/UnitTests/Net/malformed_response_test.cc
+++ b/Source/UnitTests/Net/malformed_response_test.cc
@@ -58,5 +58,93 @@
   for (const Row& row : rows) CheckReaders(row, ReadOutcome::kFailed);
 }
 
+TEST_CASE("a response with a malformed field line is not complete",
+          "[net][malformed-response]") {
+  const Row rows[] = {
+      {"folded value", WithField("X-Field: a\r\n b")},
+      {"folded value after an empty line", WithField("X-Field:\r\n\tb")},
+      {"NUL", WithField(std::string("X-Field: a\0b", 12))},
+      {"control byte", WithField("X-Field: a\x01"
+                                 "b")},
+      {"DEL", WithField("X-Field: a\x7f"
+                        "b")},
+      {"carriage return in a value", WithField("X-Field: a\rb")},
+      {"carriage return before a value", WithField("X-Field:\rab")},
+      {"carriage return at the end of the head",
+       "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\rabcd"},
+      {"two lengths", WithField("Content-Length: 2")},
+      {"length that is no number",
+       "HTTP/1.1 200 OK\r\nContent-Length: 3x\r\n\r\nabc"},
+      {"list of lengths", "HTTP/1.1 200 OK\r\nContent-Length: 3, 3\r\n\r\nabc"},
+      {"signed length", "HTTP/1.1 200 OK\r\nContent-Length: +3\r\n\r\nabc"},
+  };
+  for (const Row& row : rows) CheckReaders(row, ReadOutcome::kFailed);
+}
+
+std::string WithStatusLine(const std::string& line) {
+  return line + "\r\nContent-Length: 3\r\n\r\nabc";
+}
+
+TEST_CASE("a response with a malformed status line is not complete",
+          "[net][malformed-response]") {
+  const Row rows[] = {
+      {"status 000", WithStatusLine("HTTP/1.1 000 Unknown")},
+      {"status 0", WithStatusLine("HTTP/1.1 0 Unknown")},
+      {"status 001", WithStatusLine("HTTP/1.1 001 Unknown")},
+      {"status 099", WithStatusLine("HTTP/1.1 099 Unknown")},
+      {"status 20", WithStatusLine("HTTP/1.1 20 OK")},
+      {"status 0200", WithStatusLine("HTTP/1.1 0200 OK")},
+      {"status 2000", WithStatusLine("HTTP/1.1 2000 OK")},
+      {"status 600", WithStatusLine("HTTP/1.1 600 Unknown")},
+      {"status 999", WithStatusLine("HTTP/1.1 999 Unknown")},
+      {"negative status", WithStatusLine("HTTP/1.1 -200 OK")},
+      {"signed status", WithStatusLine("HTTP/1.1 +200 OK")},
+      {"letters as status", WithStatusLine("HTTP/1.1 2xx OK")},
+      {"letter after the status", WithStatusLine("HTTP/1.1 200OK")},
+      {"no status", WithStatusLine("HTTP/1.1 OK")},
+      {"no status and no reason", WithStatusLine("HTTP/1.1")},
+      // The product never asks for another protocol.
+      {"101", "HTTP/1.1 101 Switching Protocols\r\n\r\n"},
+      {"101 with Upgrade",
+       "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n"
+       "Upgrade: x\r\n\r\nabc"},
+      {"version 0.9", WithStatusLine("HTTP/0.9 200 OK")},
+      {"version 2.0", WithStatusLine("HTTP/2.0 200 OK")},
+      {"version 11.1", WithStatusLine("HTTP/11.1 200 OK")},
+      {"version without a dot", WithStatusLine("HTTP/1 200 OK")},
+      {"other protocol", WithStatusLine("HTTPS/1.1 200 OK")},
+      {"lower case", WithStatusLine("http/1.1 200 OK")},
+      {"two blanks before the status", WithStatusLine("HTTP/1.1  200 OK")},
+      {"blank before the version", WithStatusLine(" HTTP/1.1 200 OK")},
+      {"empty line before", WithStatusLine("\r\nHTTP/1.1 200 OK")},
+      {"NUL in the reason",
+       WithStatusLine(std::string("HTTP/1.1 200 O\0K", 16))},
+      {"control byte in the reason", WithStatusLine("HTTP/1.1 200 O\x01K")},
+      {"DEL in the reason", WithStatusLine("HTTP/1.1 200 O\x7fK")},
+      {"carriage return in the reason", WithStatusLine("HTTP/1.1 200 O\rK")},
+  };
+  for (const Row& row : rows) CheckReaders(row, ReadOutcome::kFailed);
+}
+
+TEST_CASE("unusual but correct responses are complete",
+          "[net][malformed-response]") {
+  const Row rows[] = {
+      {"status without a class of its own", WithStatusLine("HTTP/1.1 299 X")},
+      {"last valid status", WithStatusLine("HTTP/1.1 599 X")},
+      {"no reason", WithStatusLine("HTTP/1.1 200 ")},
+      {"no blank after the status", WithStatusLine("HTTP/1.1 200")},
+      {"version 1.0", WithStatusLine("HTTP/1.0 200 OK")},
+      {"later minor version", WithStatusLine("HTTP/1.2 200 OK")},
+      {"tab and other bytes in the reason",
+       WithStatusLine("HTTP/1.1 200 O\tK \xc3\xa9")},
+      {"line ends without carriage returns",
+       "HTTP/1.1 200 OK\nContent-Length: 3\n\nabc"},
+      {"all marks of a token", WithField("!#$%&'*+-.^_`|~09AZaz: 1")},
+      {"empty value", WithField("X-Field:")},
+      {"tab and other bytes in a value", WithField("X-Field:\ta\tb \xc3\xa9")},
+  };
+  for (const Row& row : rows) CheckReaders(row, ReadOutcome::kComplete);
+}
+
 }  // namespace
 }  // namespace primrosecove
--- a/Source/UnitTests/Router/malformed_response_test.cc
+++ b/Source/UnitTests/Router/malformed_response_test.cc
@@ -59,5 +59,22 @@
   }
 }
 
+TEST_CASE("a response with a malformed status line reaches no caller",
+          "[fleet][malformed-response]") {
+  const std::string rest =
+      "\r\nServer-Signature: s\r\nContent-Length: 9\r\n\r\nmalformed";
+  const std::string lines[] = {
+      "HTTP/1.1 000 Unknown", "HTTP/1.1 0 Unknown",
+      "HTTP/1.1 099 Unknown", "HTTP/1.1 20 OK",
+      "HTTP/1.1 0200 OK",     "HTTP/1.1 600 Unknown",
+      "HTTP/1.1 999 Unknown", "HTTP/1.1 101 Switching Protocols",
+      "HTTP/0.9 200 OK",      "HTTP/2.0 200 OK",
+      "HTTP/1.1 200 O\x01K"};
+  for (const std::string& it : lines) {
+    INFO(it);
+    CheckCallers(it + rest);
+  }
+}
+
 }  // namespace
 }  // namespace primrosecove
