Read the responses to the product's own clients with the same parser

The product's own routers, agents and key-value client took malformed responses for complete ones: statuses 001 to 099, 600, '2xx', '+200', field names with blanks, control bytes or none, two lengths, values cut at a NUL. A server that sent the size or extension of a chunk without end filled their memory until the call's timeout, and a watch has none: the process would run out of memory and its other requests end with it.

Cause: these clients used evhttp, a second parser of responses, which bounds no line of a chunk and checks neither names nor statuses.

HttpClient keeps its interface and is a front of Http1Client now, so that all responses are read by one parser with one set of bounds. A malformed response is kCorrupt and a body over its limit kTooLarge, so that an agent no longer counts either as a lost connection, which is evidence of a crash. Interim responses are read.

Tests: the tables of malformed_response_test.cc run over HttpClient as well; 'HttpClient cuts off a response without end' has three new rows; the interim response of response_cut_test.cc is no longer an exception.

--- a/Source/Core/Net/http1_client.cc
+++ b/Source/Core/Net/http1_client.cc
@@ -56,7 +56,7 @@
     out.append("Host: ").append(endpoint.ToString()).append("\r\n");
   }
   if (!request.body.empty() || request.method == "POST" ||
-      request.method == "PUT") {
+      request.method == "PUT" || request.method == "PATCH") {
     out.append("Content-Length: ")
         .append(std::to_string(request.body.size()))
         .append("\r\n");
@@ -78,6 +78,8 @@
                  CallEvents events);
   // Cancels call `number` without a callback, if it is still active.
   void CancelCall(uint64_t number);
+  // Stops or resumes reading if call `number` is active.
+  void SetReading(uint64_t number, bool reading);
   void Close();
   uint64_t call_number() const { return call_number_; }
   bool open() const { return bev_ != nullptr; }
@@ -294,6 +296,8 @@
                   evbuffer_get_length(bufferevent_get_output(bev_)) == 0 &&
                   evbuffer_get_length(bufferevent_get_input(bev_)) == 0;
   if (reusable) {
+    // The call may have stopped reading.
+    bufferevent_enable(bev_, EV_READ);
     client_->ReturnToPool(self, ReuseDuration(result_.head->headers));
   } else {
     Close();
@@ -315,6 +319,15 @@
   if (!parsing_) Close();
 }
 
+void Http1Connection::SetReading(uint64_t number, bool reading) {
+  if (!busy_ || number != call_number_ || bev_ == nullptr) return;
+  if (reading) {
+    bufferevent_enable(bev_, EV_READ);
+  } else {
+    bufferevent_disable(bev_, EV_READ);
+  }
+}
+
 void Http1Connection::Close() {
   deadline_.Cancel();
   connect_deadline_.Cancel();
@@ -327,6 +340,11 @@
   if (auto connection = connection_.lock()) connection->CancelCall(number_);
 }
 
+void Http1Call::SetReading(bool reading) {
+  if (auto connection = connection_.lock())
+    connection->SetReading(number_, reading);
+}
+
 Http1Client::Http1Client(EventLoop* loop) : loop_(loop) {
   sweep_timer_ = loop_->Every(kSweepPeriod, [this] { Sweep(); });
 }
--- a/Source/Core/Net/http1_client.h
+++ b/Source/Core/Net/http1_client.h
@@ -88,6 +88,9 @@
   ~Http1Call();
   Http1Call(const Http1Call&) = delete;
   Http1Call& operator=(const Http1Call&) = delete;
+  /// Stops or resumes reading the response, which applies back-pressure to the
+  /// server. The time limits of the call go on.
+  void SetReading(bool reading);
 
  private:
   std::weak_ptr<Http1Connection> connection_;
--- a/Source/Core/Net/http_client.h
+++ b/Source/Core/Net/http_client.h
@@ -1,5 +1,5 @@
-// An HTTP/1.1 client over evhttp with keep-alive connections and streamed
-// bodies.
+// An HTTP/1.1 client with bounded responses, keep-alive connections and
+// streamed bodies, for the product's own interfaces.
 #pragma once
 
 #include <functional>
@@ -10,6 +10,7 @@
 #include "Core/Common/error.h"
 #include "Core/Net/endpoint.h"
 #include "Core/Net/event_loop.h"
+#include "Core/Net/http1_client.h"
 #include "Core/Net/http_types.h"
 
 namespace primrosecove {
@@ -21,7 +22,9 @@
   kHeadReceived,  ///< Status and headers were received.
 };
 
-/// The result of a call that ended without a complete response.
+/// The result of a call that ended without a complete response. The error is
+/// kTimeout after the timeout, kCorrupt for a malformed response, kTooLarge for
+/// a body over its limit, else kUnavailable.
 struct HttpFailure {
   HttpProgress progress = HttpProgress::kSent;
   Error error;
@@ -45,11 +48,10 @@
 struct HttpCallLimits {
   Milliseconds timeout{
       30'000};  ///< From Send to the end of the response; 0 means none.
-  uint64_t max_body_bytes = 64 << 20;
+  uint64_t max_body_bytes = 64 << 20;  ///< Also of a body that is streamed.
 };
 
 struct HttpCallState;
-struct HttpClientImpl;
 
 /// An active call. Destroying it cancels the call and closes its connection.
 class HttpCall {
@@ -70,16 +72,15 @@
 /// its calls.
 class HttpClient {
  public:
-  explicit HttpClient(EventLoop* loop);
-  ~HttpClient();
+  explicit HttpClient(EventLoop* loop) : client_(loop) {}
   /// Sends `request` to `endpoint`. Callbacks never run before Send returns.
   [[nodiscard]] std::unique_ptr<HttpCall> Send(const Endpoint& endpoint,
-                                               HttpRequest request,
+                                               const HttpRequest& request,
                                                HttpCallLimits limits,
                                                HttpCallbacks callbacks);
 
  private:
-  std::shared_ptr<HttpClientImpl> impl_;
+  Http1Client client_;
 };
 
 }  // namespace primrosecove
--- a/Source/UnitTests/Net/http_test.cc
+++ b/Source/UnitTests/Net/http_test.cc
@@ -231,18 +231,25 @@
 }
 
 // Guards against a server that sends bytes until its client closes.
-TEST_CASE("the evhttp client cuts off a response without end", "[net]") {
+TEST_CASE("HttpClient cuts off a response without end", "[net]") {
   struct Row {
     const char* name;
     std::string bytes;
     std::string repeated;
   };
   const std::string block(64 << 10, 'x');
+  const std::string zeros(64 << 10, '0');
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   const Row rows[] = {
       {"a body", "HTTP/1.1 200 OK\r\n\r\n", block},
       {"header fields", "HTTP/1.1 200 OK\r\n",
        "X-Field: " + block.substr(0, 1000) + "\r\n"},
       {"one header field", "HTTP/1.1 200 OK\r\nX-Field: ", block},
+      {"digits of a chunk size", chunked, zeros},
+      {"a chunk extension", chunked + "1;", block},
+      {"trailer fields", chunked + "0\r\n",
+       "X-Field: " + block.substr(0, 1000) + "\r\n"},
   };
   constexpr size_t kMaxRepeatedBytes = 8 << 20;
   for (const Row& row : rows) {
--- a/Source/UnitTests/Net/malformed_response_test.cc
+++ b/Source/UnitTests/Net/malformed_response_test.cc
@@ -3,7 +3,6 @@
 // one, or waits for until its timeout.
 #include <catch2/catch.hpp>
 #include <string>
-#include <string_view>
 
 #include "../raw_server.h"
 #include "response_readers.h"
@@ -16,10 +15,9 @@
   std::string response;
 };
 
-// Checks that every client that uses Http1Parser ends the call with `expected`.
+// Checks that every client ends the call with `expected`.
 void CheckReaders(const Row& row, ReadOutcome expected) {
   for (const ResponseReader& reader : ResponseReaders()) {
-    if (std::string_view(reader.name) == "HttpClient") continue;
     INFO(reader.name << ", " << row.name);
     EventLoop loop;
     RawServer server(&loop, TestEndpoint(62, 1));
--- a/Source/UnitTests/Net/response_cut_test.cc
+++ b/Source/UnitTests/Net/response_cut_test.cc
@@ -3,7 +3,6 @@
 // client of the product takes for a complete one, with an empty or short body.
 #include <catch2/catch.hpp>
 #include <string>
-#include <string_view>
 
 #include "../raw_server.h"
 #include "response_readers.h"
@@ -19,7 +18,6 @@
     std::string head;
     std::string body;
     bool ends_by_close;  // A cut of its body can't be told from its end.
-    bool has_interim_response = false;
   };
   const Form forms[] = {
       {"length", "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 12\r\n\r\n",
@@ -33,7 +31,7 @@
       {"interim response first",
        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
        "1\r\n\r\n",
-       "x", false, true},
+       "x", false},
   };
   for (const ResponseReader& client : ResponseReaders()) {
     for (const Form& form : forms) {
@@ -55,11 +53,6 @@
                 ReadOutcome::kComplete);
         }
         if (end == RawServer::End::kReset) continue;
-        // evhttp fails a call that gets an interim response, and asks for none.
-        if (form.has_interim_response &&
-            std::string_view(client.name) == "HttpClient") {
-          continue;
-        }
         server.Add({whole, end});
         CHECK(client.read(&loop, TestEndpoint(kGroup, 1)) ==
               ReadOutcome::kComplete);
