Reject chunked bodies with malformed framing

A client got a body that was not the server's: after the data of a chunk the library skips any two bytes as the line end, so that '3', 'abcde', '0' was a complete body 'abc'. A carriage return and any byte ended the line of a size and the whole body, and a trailer field could be folded.

Cause: as for heads, the library without its strict mode.

ChunkGrammar checks the bytes around the chunks' data: sizes, extensions, line ends and trailer fields, in callers' requests too.

Test: 'a response with malformed chunks is not complete', three clients and the parser with single bytes.

--- a/Source/Core/Net/http1_parser.cc
+++ b/Source/Core/Net/http1_parser.cc
@@ -63,8 +63,8 @@
 }
 
 Http1Parser::Http1Parser(Kind kind, uint32_t max_head_bytes, Events events)
-    : grammar_(kind == Kind::kRequest ? HeadGrammar::Kind::kRequest
-                                      : HeadGrammar::Kind::kResponse),
+    : head_grammar_(kind == Kind::kRequest ? HeadGrammar::Kind::kRequest
+                                           : HeadGrammar::Kind::kResponse),
       max_head_bytes_(max_head_bytes),
       events_(std::move(events)) {
   http_parser_init(&parser_,
@@ -75,17 +75,23 @@
 size_t Http1Parser::Parse(std::string_view bytes) {
   if (failed_) return 0;
   // Nothing of a malformed head takes effect.
-  if (!grammar_.Check(bytes)) {
+  auto head_size = head_grammar_.Check(bytes);
+  if (!head_size) {
     failed_ = true;
     return 0;
   }
+  checked_to_ = bytes.data() + *head_size;
   complete_ = false;
   has_body_data_ = false;
   size_t n =
       http_parser_execute(&parser_, &Settings(), bytes.data(), bytes.size());
+  if (!CheckChunks(bytes.data() + n)) {
+    failed_ = true;
+    return n;
+  }
   if (complete_) {
     bytes_without_body_ = 0;
-    grammar_.Reset();
+    head_grammar_.Reset();
     http_parser_pause(&parser_, 0);
     return n;
   }
@@ -103,6 +109,13 @@
   if (!complete_) failed_ = true;
 }
 
+bool Http1Parser::CheckChunks(const char* end) {
+  if (!is_chunked_ || end <= checked_to_) return true;
+  std::string_view bytes(checked_to_, static_cast<size_t>(end - checked_to_));
+  checked_to_ = end;
+  return chunk_grammar_.Check(bytes);
+}
+
 bool Http1Parser::CountHeadBytes(size_t n) {
   head_bytes_ += n;
   if (head_bytes_ <= max_head_bytes_) return true;
@@ -125,6 +138,8 @@
   self->head_bytes_ = 0;
   self->has_value_ = false;
   self->in_message_ = true;
+  self->is_chunked_ = false;
+  self->chunk_grammar_.Reset();
   return 0;
 }
 
@@ -140,9 +155,6 @@
 
 int Http1Parser::OnHeaderField(http_parser* parser, const char* at, size_t n) {
   Http1Parser* self = Self(parser);
-  for (char it : std::string_view(at, n)) {
-    if (!IsTokenByte(it)) return 1;
-  }
   self->FinishHeader();
   self->field_.append(at, n);
   return self->CountHeadBytes(n) ? 0 : 1;
@@ -171,14 +183,18 @@
   if (parser->content_length != std::numeric_limits<uint64_t>::max()) {
     head.content_length = parser->content_length;
   }
+  self->is_chunked_ = (parser->flags & F_CHUNKED) != 0 && !self->skip_body_;
   if (self->events_.on_head) self->events_.on_head(std::move(head));
   constexpr int kSkipBody = 1;
   return self->skip_body_ ? kSkipBody : 0;
 }
 
 int Http1Parser::OnBody(http_parser* parser, const char* at, size_t n) {
-  Self(parser)->has_body_data_ = true;
-  if (Self(parser)->events_.on_body) Self(parser)->events_.on_body({at, n});
+  Http1Parser* self = Self(parser);
+  if (!self->CheckChunks(at)) return 1;
+  self->checked_to_ = at + n;
+  self->has_body_data_ = true;
+  if (self->events_.on_body) self->events_.on_body({at, n});
   return 0;
 }
 
--- a/Source/Core/Net/http1_parser.h
+++ b/Source/Core/Net/http1_parser.h
@@ -1,5 +1,5 @@
 // A strict HTTP/1.1 parser for traffic with clients and upstreams: a library
-// reads the messages, and HeadGrammar rejects what it wrongly accepts.
+// reads the messages, and http_grammar.h rejects what it wrongly accepts.
 #pragma once
 
 #include <http_parser.h>
@@ -76,11 +76,14 @@
   static int OnMessageComplete(http_parser* parser);
   static const http_parser_settings& Settings();
 
+  // Checks the bytes before `end` that belong to no chunk's data.
+  bool CheckChunks(const char* end);
   bool CountHeadBytes(size_t n);
   void FinishHeader();
 
   http_parser parser_;
-  HeadGrammar grammar_;
+  HeadGrammar head_grammar_;
+  ChunkGrammar chunk_grammar_;
   uint32_t max_head_bytes_;
   Events events_;
   Http1Head head_;
@@ -89,6 +92,10 @@
   size_t head_bytes_ = 0;
   size_t bytes_without_body_ = 0;  // Parsed since the last data of a body.
   bool has_body_data_ = false;     // In the current call of Parse.
+  // In the bytes that Parse was given: the end of those that are checked, or
+  // are data.
+  const char* checked_to_ = nullptr;
+  bool is_chunked_ = false;
   bool has_value_ = false;
   bool in_message_ = false;
   bool complete_ = false;
--- a/Source/Core/Net/http_grammar.cc
+++ b/Source/Core/Net/http_grammar.cc
@@ -5,6 +5,10 @@
 
 bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 
+bool IsHexDigit(char c) {
+  return IsDigit(c) || (c >= 'A' && c <= 'F') || (c >= 'a' && c <= 'f');
+}
+
 bool IsLineEnd(char c) { return c == '\r' || c == '\n'; }
 
 // Returns whether `c` may be byte `n` of a status line, up to the byte after
@@ -35,12 +39,12 @@
   start_line_bytes_ = 0;
 }
 
-bool HeadGrammar::Check(std::string_view bytes) {
-  for (char c : bytes) {
-    if (state_ == State::kEnd) return true;
-    if (!Advance(c)) return false;
+std::optional<size_t> HeadGrammar::Check(std::string_view bytes) {
+  for (size_t i = 0; i < bytes.size(); ++i) {
+    if (state_ == State::kEnd) return i;
+    if (!Advance(bytes[i])) return std::nullopt;
   }
-  return true;
+  return bytes.size();
 }
 
 void HeadGrammar::EndLine(char c, State next) {
@@ -88,4 +92,46 @@
   return true;
 }
 
+void ChunkGrammar::Reset() {
+  state_ = State::kSize;
+  is_last_ = true;
+}
+
+bool ChunkGrammar::Check(std::string_view bytes) {
+  for (size_t i = 0; i < bytes.size(); ++i) {
+    if (state_ == State::kTrailer)
+      return trailer_.Check(bytes.substr(i)).has_value();
+    if (!Advance(bytes[i])) return false;
+  }
+  return true;
+}
+
+bool ChunkGrammar::Advance(char c) {
+  switch (state_) {
+    case State::kSize:
+      if (IsHexDigit(c)) {
+        is_last_ = is_last_ && c == '0';
+        return true;
+      }
+      state_ = c == '\r' ? State::kSizeLineFeed : State::kExtension;
+      return c == '\r' || c == ';' || c == ' ' || c == '\t';
+    case State::kExtension:
+      if (c == '\r') state_ = State::kSizeLineFeed;
+      return c == '\r' || IsTextByte(c);
+    case State::kSizeLineFeed:
+      state_ = is_last_ ? State::kTrailer : State::kDataCarriageReturn;
+      if (is_last_) trailer_.BeginTrailer();
+      return c == '\n';
+    case State::kDataCarriageReturn:
+      state_ = State::kDataLineFeed;
+      return c == '\r';
+    case State::kDataLineFeed:
+      Reset();
+      return c == '\n';
+    case State::kTrailer:
+      break;
+  }
+  return true;
+}
+
 }  // namespace primrosecove
--- a/Source/Core/Net/http_grammar.h
+++ b/Source/Core/Net/http_grammar.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <string_view>
 
 namespace primrosecove {
@@ -22,9 +23,11 @@
 
   /// Begins with the start line of the next message.
   void Reset();
-  /// Checks `bytes` up to the end of the head and ignores the rest. Returns
-  /// false if the head is malformed.
-  bool Check(std::string_view bytes);
+  /// Begins with the trailer fields of a chunked body.
+  void BeginTrailer() { state_ = State::kFieldStart; }
+  /// Checks `bytes` up to the end of the head. Returns how many of them belong
+  /// to it, or nothing if it is malformed.
+  std::optional<size_t> Check(std::string_view bytes);
 
  private:
   enum class State { kStartLine, kFieldStart, kName, kValue, kLineFeed, kEnd };
@@ -41,4 +44,33 @@
   size_t start_line_bytes_ = 0;
 };
 
+/// Checks the successive bytes of a chunked body without the chunks' data (RFC
+/// 9112, section 7.1). Not thread safe.
+class ChunkGrammar {
+ public:
+  /// Begins with the size of the first chunk.
+  void Reset();
+  /// Checks the bytes between two pieces of data, all of them if `bytes` ends
+  /// where data begins. Returns false if the body is malformed. Precondition:
+  /// no data of a chunk is missing before `bytes`, if they are not empty.
+  bool Check(std::string_view bytes);
+
+ private:
+  enum class State {
+    kSize,
+    kExtension,
+    kSizeLineFeed,
+    kDataCarriageReturn,
+    kDataLineFeed,
+    kTrailer
+  };
+
+  // Whether `c` is valid here; advances the state.
+  bool Advance(char c);
+
+  State state_ = State::kSize;
+  bool is_last_ = true;  // The digits of the size so far are zeros.
+  HeadGrammar trailer_{HeadGrammar::Kind::kResponse};
+};
+
 }  // namespace primrosecove
--- a/Source/UnitTests/Net/malformed_response_test.cc
+++ b/Source/UnitTests/Net/malformed_response_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "../raw_server.h"
+#include "Core/Net/http1_parser.h"
 #include "response_readers.h"
 
 namespace primrosecove {
@@ -15,8 +16,25 @@
   std::string response;
 };
 
-// Checks that every client ends the call with `expected`.
+// Returns whether a parser that gets the response in single bytes reads it.
+bool IsReadInSingleBytes(const std::string& response) {
+  bool is_complete = false;
+  Http1Parser::Events events;
+  events.on_complete = [&] { is_complete = true; };
+  Http1Parser parser(Http1Parser::Kind::kResponse, 1000, events);
+  for (char it : response) {
+    if (is_complete || parser.failed()) break;
+    parser.Parse({&it, 1});
+  }
+  return is_complete && !parser.failed();
+}
+
+// Checks that every client ends the call with `expected`, however the response
+// is divided into reads.
 void CheckReaders(const Row& row, ReadOutcome expected) {
+  INFO(row.name);
+  CHECK(IsReadInSingleBytes(row.response) ==
+        (expected == ReadOutcome::kComplete));
   for (const ResponseReader& reader : ResponseReaders()) {
     INFO(reader.name << ", " << row.name);
     EventLoop loop;
@@ -79,6 +97,39 @@
   for (const Row& row : rows) CheckReaders(row, ReadOutcome::kFailed);
 }
 
+std::string WithChunks(const std::string& chunks) {
+  return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks;
+}
+
+TEST_CASE("a response with malformed chunks is not complete",
+          "[net][malformed-response]") {
+  const Row rows[] = {
+      {"more data than the size", WithChunks("3\r\nabcde0\r\n\r\n")},
+      {"no line end after the data", WithChunks("3\r\nabcXY0\r\n\r\n")},
+      {"line feed alone after the data", WithChunks("3\r\nabc\nX0\r\n\r\n")},
+      {"carriage return alone after the data",
+       WithChunks("3\r\nabc\rX0\r\n\r\n")},
+      {"carriage return alone after the size",
+       WithChunks("3\rXabc\r\n0\r\n\r\n")},
+      {"carriage return alone after an extension",
+       WithChunks("3;a\rXabc\r\n0\r\n\r\n")},
+      {"carriage return alone after the last size",
+       WithChunks("3\r\nabc\r\n0\rX\r\n")},
+      {"carriage return alone at the end", WithChunks("3\r\nabc\r\n0\r\n\rX")},
+      {"NUL in an extension",
+       WithChunks(std::string("3;a\0b\r\nabc\r\n0\r\n\r\n", 18))},
+      {"prefix of the size", WithChunks("0x3\r\nabc\r\n0\r\n\r\n")},
+      {"sign of the size", WithChunks("+3\r\nabc\r\n0\r\n\r\n")},
+      {"blank before the size", WithChunks(" 3\r\nabc\r\n0\r\n\r\n")},
+      {"no size", WithChunks("\r\nabc\r\n0\r\n\r\n")},
+      {"size over 64 bits",
+       WithChunks("10000000000000003\r\nabc\r\n0\r\n\r\n")},
+      {"folded trailer field",
+       WithChunks("3\r\nabc\r\n0\r\nX-Field: a\r\n b\r\n\r\n")},
+  };
+  for (const Row& row : rows) CheckReaders(row, ReadOutcome::kFailed);
+}
+
 std::string WithStatusLine(const std::string& line) {
   return line + "\r\nContent-Length: 3\r\n\r\nabc";
 }
@@ -139,6 +190,10 @@
        "HTTP/1.1 200 OK\nContent-Length: 3\n\nabc"},
       {"all marks of a token", WithField("!#$%&'*+-.^_`|~09AZaz: 1")},
       {"empty value", WithField("X-Field:")},
+      {"two chunks", WithChunks("3\r\nabc\r\n00A\r\n0123456789\r\n0\r\n\r\n")},
+      {"chunk extensions", WithChunks("3;a=\"b c\"\r\nabc\r\n000 ;x\r\n\r\n")},
+      {"trailer fields",
+       WithChunks("3\r\nabc\r\n0\r\nX-Field: 1\r\nX-Other:\r\n\r\n")},
       {"tab and other bytes in a value", WithField("X-Field:\ta\tb \xc3\xa9")},
   };
   for (const Row& row : rows) CheckReaders(row, ReadOutcome::kComplete);
