Reject responses with another transfer coding than chunked

A response whose body was compressed and then sent in chunks would reach the caller compressed and without a field that says so: not the server's body. A body with a coding that is unknown was read up to the end of the connection.

Cause: the framing was taken from the library, which knows only whether the last coding is chunked, and Transfer-Encoding is a connection's field and is removed.

A message has no coding or exactly one field 'chunked', and none in HTTP/1.0 (RFC 9112, section 6.1), else it is malformed. The count of fields of a name is a function of HttpHeaders now.

Test: 'a response with another transfer coding than chunked is malformed'.

--- a/Source/Core/Net/http1_parser.cc
+++ b/Source/Core/Net/http1_parser.cc
@@ -3,6 +3,8 @@
 #include <limits>
 #include <utility>
 
+#include "Core/Common/text.h"
+
 namespace primrosecove {
 namespace {
 
@@ -25,6 +27,17 @@
   return status >= kFirst && status <= kLast && status != kSwitchingProtocols;
 }
 
+// Returns whether the body has no transfer coding or is sent in chunks, which
+// HTTP/1.0 does not know (RFC 9112, section 6.1). The product asks for no other
+// coding.
+bool HasKnownCoding(const http_parser& parser, const HttpHeaders& headers) {
+  size_t n = headers.Count("Transfer-Encoding");
+  if (n == 0) return true;
+  bool is_chunked = (parser.flags & F_CHUNKED) != 0;
+  return n == 1 && is_chunked && parser.http_minor > 0 &&
+         ToLower(*headers.Find("Transfer-Encoding")) == "chunked";
+}
+
 // Returns whether the message body ends when the connection is closed (RFC
 // 9112, section 6.3).
 bool IsCloseDelimited(const http_parser& parser) {
@@ -176,6 +189,7 @@
   Http1Head& head = self->head_;
   if (parser->type == HTTP_RESPONSE && !IsValidStatus(parser->status_code))
     return kMalformed;
+  if (!HasKnownCoding(*parser, head.headers)) return kMalformed;
   if (parser->type == HTTP_REQUEST) {
     head.method = http_method_str(static_cast<http_method>(parser->method));
   }
--- a/Source/Core/Net/http_types.cc
+++ b/Source/Core/Net/http_types.cc
@@ -38,6 +38,13 @@
   return std::nullopt;
 }
 
+size_t HttpHeaders::Count(std::string_view name) const {
+  auto n = std::count_if(fields_.begin(), fields_.end(), [&](const auto& it) {
+    return EqualsIgnoreCase(it.first, name);
+  });
+  return static_cast<size_t>(n);
+}
+
 void RemoveHopByHopFields(HttpHeaders* headers) {
   static constexpr std::array<std::string_view, 10> kNames = {
       "Connection",
--- a/Source/Core/Net/http_types.h
+++ b/Source/Core/Net/http_types.h
@@ -1,6 +1,7 @@
 // HTTP requests, responses and header fields, for clients and servers.
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,6 +26,8 @@
   /// Returns the value of the first field named `name`. The view is valid until
   /// this object is modified or destroyed.
   std::optional<std::string_view> Find(std::string_view name) const;
+  /// Returns the number of fields named `name`.
+  size_t Count(std::string_view name) const;
   const std::vector<std::pair<std::string, std::string>>& fields() const {
     return fields_;
   }
--- a/Source/UnitTests/Net/malformed_response_test.cc
+++ b/Source/UnitTests/Net/malformed_response_test.cc
@@ -130,6 +130,36 @@
   for (const Row& row : rows) CheckReaders(row, ReadOutcome::kFailed);
 }
 
+std::string WithCoding(const std::string& version, const std::string& fields) {
+  return "HTTP/" + version + " 200 OK\r\n" + fields +
+         "\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+}
+
+// Of such a body the product would read the encoded bytes, or other ones than
+// the server meant (RFC 9112, section 6.1).
+TEST_CASE("a response with another transfer coding than chunked is malformed",
+          "[net][malformed-response]") {
+  const Row rows[] = {
+      {"unknown coding", WithCoding("1.1", "Transfer-Encoding: x")},
+      {"identity", WithCoding("1.1", "Transfer-Encoding: identity")},
+      {"compressed chunks",
+       WithCoding("1.1", "Transfer-Encoding: gzip, chunked")},
+      {"compressed chunks in two fields",
+       WithCoding("1.1",
+                  "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked")},
+      {"not chunked last",
+       WithCoding("1.1", "Transfer-Encoding: chunked, gzip")},
+      {"chunked twice",
+       WithCoding("1.1", "Transfer-Encoding: chunked, chunked")},
+      {"chunked in two fields",
+       WithCoding("1.1",
+                  "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked")},
+      {"empty", WithCoding("1.1", "Transfer-Encoding:")},
+      {"chunked in HTTP/1.0", WithCoding("1.0", "Transfer-Encoding: chunked")},
+  };
+  for (const Row& row : rows) CheckReaders(row, ReadOutcome::kFailed);
+}
+
 std::string WithStatusLine(const std::string& line) {
   return line + "\r\nContent-Length: 3\r\n\r\nabc";
 }
@@ -190,6 +220,10 @@
        "HTTP/1.1 200 OK\nContent-Length: 3\n\nabc"},
       {"all marks of a token", WithField("!#$%&'*+-.^_`|~09AZaz: 1")},
       {"empty value", WithField("X-Field:")},
+      {"capital letters in the coding",
+       WithCoding("1.1", "Transfer-Encoding: Chunked")},
+      {"blanks around the coding",
+       WithCoding("1.1", "Transfer-Encoding:  \tchunked ")},
       {"two chunks", WithChunks("3\r\nabc\r\n00A\r\n0123456789\r\n0\r\n\r\n")},
       {"chunk extensions", WithChunks("3;a=\"b c\"\r\nabc\r\n000 ;x\r\n\r\n")},
       {"trailer fields",
