Reject requests with another major version, two hosts or odd targets

Requests of HTTP/0.9 and HTTP/2.0 and those with two Host fields were served: a router and an upstream may choose different ones of two hosts. Tabs, form feeds and bytes over 127 in a target were forwarded as they were.

RFC 9112, sections 2.3, 3 and 3.2, say what a server answers: 505 for the version, 400 for the others.

Test: rows of 'the server handles pipelined requests and rejects malformed ones'.

--- a/Source/Core/Net/http1_parser.cc
+++ b/Source/Core/Net/http1_parser.cc
@@ -190,7 +190,13 @@
   if (parser->type == HTTP_RESPONSE && !IsValidStatus(parser->status_code))
     return kMalformed;
   if (!HasKnownCoding(*parser, head.headers)) return kMalformed;
+  if (parser->http_major != 1) {
+    self->unsupported_version_ = true;
+    return kMalformed;
+  }
   if (parser->type == HTTP_REQUEST) {
+    // RFC 9112, section 3.2.
+    if (head.headers.Count("Host") > 1) return kMalformed;
     head.method = http_method_str(static_cast<http_method>(parser->method));
   }
   head.status = static_cast<int>(parser->status_code);
--- a/Source/Core/Net/http1_parser.h
+++ b/Source/Core/Net/http1_parser.h
@@ -62,6 +62,8 @@
   /// limit, or there were too many bytes around the body's data.
   bool failed() const { return failed_; }
   bool head_too_large() const { return head_too_large_; }
+  /// Returns whether the message has a major version other than 1.
+  bool unsupported_version() const { return unsupported_version_; }
   /// Returns whether a message has begun and is incomplete.
   bool in_message() const { return in_message_; }
 
@@ -102,6 +104,7 @@
   bool skip_body_ = false;
   bool failed_ = false;
   bool head_too_large_ = false;
+  bool unsupported_version_ = false;
 };
 
 }  // namespace primrosecove
--- a/Source/Core/Net/http1_server.cc
+++ b/Source/Core/Net/http1_server.cc
@@ -221,6 +221,8 @@
     if (parser_->head_too_large()) {
       return RejectRequest(431, "Request Header Fields Too Large");
     }
+    if (parser_->unsupported_version())
+      return RejectRequest(505, "HTTP Version Not Supported");
     if (parser_->failed()) return RejectRequest(400, "Bad Request");
     if (refuses_ && (head_received_ || request_complete_)) return Refuse();
     if (request_complete_) DispatchRequest();
--- a/Source/Core/Net/http_grammar.cc
+++ b/Source/Core/Net/http_grammar.cc
@@ -11,6 +11,12 @@
 
 bool IsLineEnd(char c) { return c == '\r' || c == '\n'; }
 
+// Returns whether `c` may be part of a request line, whose parts consist of
+// visible characters (RFC 9112, section 3).
+bool IsRequestLineByte(char c) {
+  return (c >= ' ' && c <= '~') || IsLineEnd(c);
+}
+
 // Returns whether `c` may be byte `n` of a status line, up to the byte after
 // the status (RFC 9112, section 4). The reason may be absent.
 bool IsStatusLineByte(size_t n, char c) {
@@ -54,7 +60,9 @@
 
 bool HeadGrammar::AdvanceStartLine(char c) {
   size_t n = start_line_bytes_++;
-  if (kind_ == Kind::kResponse && !IsStatusLineByte(n, c)) return false;
+  bool is_valid =
+      kind_ == Kind::kResponse ? IsStatusLineByte(n, c) : IsRequestLineByte(c);
+  if (!is_valid) return false;
   // A request may follow empty lines (RFC 9112, section 2.2).
   bool is_empty = kind_ == Kind::kRequest && n == 0;
   if (IsLineEnd(c)) {
