Limit the number of header fields

A server or a caller could send a head of 64 KiB that takes megabytes: a field of two bytes takes the memory of two strings, and only the bytes of names and values counted.

A head may have 256 fields. More end a response as malformed and a request with 431, as a head over its limit in bytes.

Test: 'the number of header fields is limited'. With the check taken out, six of its 12 checks fail; all pass with it.

--- a/Source/Core/Net/http1_parser.cc
+++ b/Source/Core/Net/http1_parser.cc
@@ -171,6 +171,10 @@
 int Http1Parser::OnHeaderField(http_parser* parser, const char* at, size_t n) {
   Http1Parser* self = Self(parser);
   self->FinishHeader();
+  if (self->head_.headers.fields().size() >= kMaxFields) {
+    self->head_too_large_ = true;
+    return 1;
+  }
   self->field_.append(at, n);
   return self->CountHeadBytes(n) ? 0 : 1;
 }
--- a/Source/Core/Net/http1_parser.h
+++ b/Source/Core/Net/http1_parser.h
@@ -34,6 +34,9 @@
 class Http1Parser {
  public:
   enum class Kind { kRequest, kResponse };
+  /// Limits the fields of a head, each of which takes more memory than its
+  /// bytes.
+  static constexpr size_t kMaxFields = 256;
   /// Callbacks of Parse; they must not destroy the parser.
   struct Events {
     std::function<void(Http1Head)> on_head;
@@ -45,7 +48,8 @@
   Http1Parser(const Http1Parser&) = delete;
   Http1Parser& operator=(const Http1Parser&) = delete;
 
-  /// Sets the limit on the heads of the messages that begin from now on.
+  /// Sets the limit on the bytes of names, values and start line in the heads
+  /// of the messages that begin from now on.
   void SetMaxHeadBytes(uint32_t max_head_bytes) {
     max_head_bytes_ = max_head_bytes;
   }
--- a/Source/UnitTests/Net/http1_test.cc
+++ b/Source/UnitTests/Net/http1_test.cc
@@ -326,6 +326,31 @@
   return state.received;
 }
 
+// Guards against a head that takes many times its size in memory, because each
+// of its fields takes that of two strings.
+TEST_CASE("the number of header fields is limited", "[http1]") {
+  for (auto kind :
+       {Http1Parser::Kind::kRequest, Http1Parser::Kind::kResponse}) {
+    for (size_t fields :
+         {Http1Parser::kMaxFields, Http1Parser::kMaxFields + 1}) {
+      CAPTURE(kind == Http1Parser::Kind::kRequest, fields);
+      bool is_complete = false;
+      Http1Parser::Events events;
+      events.on_complete = [&] { is_complete = true; };
+      Http1Parser parser(kind, 64 << 10, events);
+      std::string head = kind == Http1Parser::Kind::kRequest
+                             ? "GET / HTTP/1.1\r\n"
+                             : "HTTP/1.1 204 No Content\r\n";
+      for (size_t n = 0; n < fields; ++n) head += "a:\r\n";
+      parser.Parse(head + "\r\n");
+      bool fits = fields <= Http1Parser::kMaxFields;
+      CHECK(is_complete == fits);
+      CHECK(parser.failed() == !fits);
+      CHECK(parser.head_too_large() == !fits);
+    }
+  }
+}
+
 TEST_CASE("the server handles pipelined requests and rejects malformed ones",
           "[http1]") {
   struct Row {
