End a feed that names chunks that do not exist

An agent kept every number that a peer's feed of chunks named. The feed has no end and no length, so a faulty peer could fill the agent's memory (128 MB on the deployments) and end its process.

Cause: the numbers were not compared with the size of the copy.

A feed with a number beyond the copy is ended, and the peer is avoided for a while, like one whose feed ended by itself.

Test: 'a feed of chunks that do not exist is ended'.

--- a/Source/Core/Agent/weight_transfer.cc
+++ b/Source/Core/Agent/weight_transfer.cc
@@ -290,7 +290,13 @@
 void WeightTransfer::OnFeedData(const std::string& id, std::string_view bytes) {
   Feed* feed = feeds_[id].get();
   feed->buf.append(bytes);
-  for (uint32_t n : ParseChunkNumbers(&feed->buf)) feed->chunks.insert(n);
+  for (uint32_t n : ParseChunkNumbers(&feed->buf)) {
+    if (n >= copy_.size()) {
+      feeds_.erase(id);
+      return AvoidPeer(id, "feed names a chunk that does not exist");
+    }
+    feed->chunks.insert(n);
+  }
   FetchNext();
 }
 
--- a/Source/UnitTests/Agent/fleet_agent_test.cc
+++ b/Source/UnitTests/Agent/fleet_agent_test.cc
@@ -7,6 +7,7 @@
 #include "../test_support.h"
 #include "Core/Agent/weight_stager.h"
 #include "Core/Fleet/fleet_ports.h"
+#include "Core/Net/http1_server.h"
 #include "Core/Net/udp_socket.h"
 #include "platform/testing/engine_stand_in.h"
 #include "platform/testing/store_stand_in.h"
@@ -203,6 +204,40 @@
   CHECK(fleet.origin.chunks_sent() >= kChunks + 7);
 }
 
+// Guards against a peer whose feed fills the memory of the agents that
+// subscribe to it, by numbers of chunks without end.
+TEST_CASE("a feed of chunks that do not exist is ended", "[burst]") {
+  FleetFixture fleet(61, 1, 1);
+  std::vector<std::shared_ptr<Http1Exchange>> feeds;
+  Http1Server peer(&fleet.loop, {}, [&](auto exchange) {
+    if (!exchange->request().QueryValue("feed"))
+      return exchange->Respond(404, "Not Found", {}, "");
+    exchange->StartStream(200, "OK", {});
+    feeds.push_back(std::move(exchange));
+  });
+  REQUIRE(peer.Listen({fleet.EndpointOf(40).ip, kPeerPort}));
+  uint32_t next = kChunks;
+  Timer writer = fleet.loop.Every(Milliseconds(1), [&] {
+    constexpr int kNumbersAWrite = 1000;
+    for (const auto& it : feeds) {
+      std::string bytes;
+      for (int n = 0; n < kNumbersAWrite; ++n, ++next) {
+        for (int shift = 24; shift >= 0; shift -= 8)
+          bytes.push_back(static_cast<char>(next >> shift));
+      }
+      if (!it->finished()) it->Write(bytes);
+    }
+    std::erase_if(feeds, [](const auto& it) { return it->finished(); });
+  });
+  fleet.update.members.push_back(
+      {"peer", fleet.EndpointOf(40), "z1", 1, false});
+  fleet.SetTarget(2);
+  fleet.RunUntilServing(2);
+  constexpr uint32_t kMaxNumbers = 50'000;
+  CHECK(next > kChunks);
+  CHECK(next < kMaxNumbers);
+}
+
 TEST_CASE(
     "chunks that became corrupt at the engine are staged again before a load",
     "[burst]") {
