Limit the memory of the responses of all requests together

A faulty upstream that sends bodies or events without end could take a router over its memory: the process ends, and with it the requests of all its callers. Each response was limited (4 MiB, an event 1 MiB, 4 MiB that wait for a slow caller), but not their sum: 40 such requests are 160 MB, which is all that the smallest machines of the deployments have.

The requests in progress may hold a quarter of the host's memory. Beyond it the largest responses end first, so that sound ones, which are small, go on: 502 or another upstream if the caller has got nothing, else the connection is reset. The sum is taken only when a request's own bytes have grown by 16 KiB, so that ordinary responses cost nothing. New metrics: primrosecove_router_held_response_bytes, ..._responses_dropped_total.

The scripted server writes without end only on connections that have sent a request.

--- a/Source/Core/Router/fleet_attempt.h
+++ b/Source/Core/Router/fleet_attempt.h
@@ -41,6 +41,10 @@
   int event_count = 0;             ///< Events forwarded to the caller.
   bool has_foreign_event = false;  ///< The rest is not forwarded.
 
+  /// Returns the bytes of the response that are held until more arrive.
+  size_t HeldBytes() const {
+    return response_body.size() + framer.partial_bytes();
+  }
   void RecordData(MonotonicTime now) {
     last_data_at = now;
     own_stall_since_data = Milliseconds(0);
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -18,6 +18,9 @@
 // memory until they are complete.
 constexpr size_t kMaxResponseBytes = 4 << 20;
 constexpr size_t kMaxEventBytes = 1 << 20;
+// By so much the responses that a request holds grow between two checks of the
+// limit on those of all requests. Most responses stay below.
+constexpr size_t kHeldBytesStep = 16 << 10;
 constexpr int kStatusServerError = 500;
 constexpr int kStatusUnavailable = 503;
 
@@ -336,7 +339,7 @@
     if (bytes.size() > kMaxResponseBytes - attempt->response_body.size())
       return OnAttemptFailure(attempt, "response too large");
     attempt->response_body.append(bytes);
-    return;
+    return LimitHeldBytes();
   }
   attempt->framer.Push(bytes, [this, attempt](const StreamEvent& event) {
     OnEvent(attempt, event);
@@ -344,7 +347,37 @@
   if (attempt->has_foreign_event)
     return OnUnusableResponse(attempt, "event of another response");
   if (attempt->framer.partial_bytes() > kMaxEventBytes)
-    OnAttemptFailure(attempt, "event too large");
+    return OnAttemptFailure(attempt, "event too large");
+  LimitHeldBytes();
+}
+
+size_t FleetRequest::HeldBytes() const {
+  size_t out = exchange_->pending_bytes();
+  for (const auto& it : in_flight_) out += it->HeldBytes();
+  return out;
+}
+
+void FleetRequest::LimitHeldBytes() {
+  size_t held = HeldBytes();
+  held_bytes_at_check_ = std::min(held_bytes_at_check_, held);
+  if (held - held_bytes_at_check_ < kHeldBytesStep) return;
+  held_bytes_at_check_ = held;
+  state_->LimitHeldResponses();
+}
+
+void FleetRequest::EndLargestResponse() {
+  const char* why = "responses exceed the router's memory";
+  if (ended_) return;
+  auto largest = std::max_element(in_flight_.begin(), in_flight_.end(),
+                                  [](const auto& a, const auto& b) {
+                                    return a->HeldBytes() < b->HeldBytes();
+                                  });
+  if (largest == in_flight_.end() || exchange_->started()) {
+    CancelAttempts(UpstreamVerdict::kUnknown);
+    return GiveUp(why, kRetryElsewhereDelay);
+  }
+  std::shared_ptr<FleetAttempt> attempt = *largest;
+  OnUnusableResponse(attempt.get(), why);
 }
 
 // An upstream may write an error, even with its head, into a stream that has
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -43,6 +43,12 @@
   /// Records the loss of the attempts at a crashed upstream that are silent.
   /// They go on, because the upstream may only have lost its registration.
   void OnUpstreamCrash(const std::string& upstream_id);
+  /// Returns the bytes of responses that it holds: of its attempts, and those
+  /// that are not yet written to the caller's socket.
+  size_t HeldBytes() const;
+  /// Ends the largest of its responses, to free memory. The request goes on if
+  /// the caller has got nothing of it and it may be repeated.
+  void EndLargestResponse();
   bool ended() const { return ended_; }
   /// Returns what would be done now with a request that has `fields`, without
   /// sending it. Precondition: Start() is never called on this object.
@@ -143,6 +149,9 @@
   void OnHead(FleetAttempt* attempt, const Http1Head& head);
   void OnData(FleetAttempt* attempt, std::string_view bytes);
   void OnEvent(FleetAttempt* attempt, const StreamEvent& event);
+  // Limits the responses that all requests hold, if those of this one have
+  // grown.
+  void LimitHeldBytes();
   void OnCallEnd(FleetAttempt* attempt, CallResult result);
   void OnNotSent(FleetAttempt* attempt, bool refused);
   void OnCompleteResponse(FleetAttempt* attempt, const CallResult& result);
@@ -235,6 +244,7 @@
   std::optional<uint64_t>
       weights_version_;  // Weights that produced the forwarded events.
   int event_count_ = 0;
+  size_t held_bytes_at_check_ = 0;
   MonotonicTime first_event_at_{0};
   MonotonicTime last_event_at_{0};
   Milliseconds longest_pause_{0};
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -48,6 +48,9 @@
 // platform reserves 200 descriptors for files.
 constexpr size_t kReservedDescriptors = 250;
 constexpr size_t kDescriptorsPerCaller = 2;
+// Share of the host's memory that responses may take: the rest is for
+// connections, requests and the process itself.
+constexpr uint64_t kResponseMemoryDivisor = 4;
 // Time for callers to receive the last responses and close.
 constexpr Milliseconds kLingerTime{400};
 // Limits of the readiness and metrics servers.
@@ -69,6 +72,29 @@
 
 }  // namespace
 
+size_t FleetState::HeldResponseBytes() const {
+  size_t out = 0;
+  for (const auto& [key, request] : requests) out += request->HeldBytes();
+  return out;
+}
+
+void FleetState::LimitHeldResponses() {
+  size_t limit = settings.memory_bytes / kResponseMemoryDivisor;
+  if (limit == 0) return;
+  while (HeldResponseBytes() > limit) {
+    auto largest = std::max_element(
+        requests.begin(), requests.end(), [](const auto& a, const auto& b) {
+          return a.second->HeldBytes() < b.second->HeldBytes();
+        });
+    std::shared_ptr<FleetRequest> request = largest->second;
+    size_t held = request->HeldBytes();
+    ++counters.responses_dropped;
+    request->EndLargestResponse();
+    // What is on its way to the caller may remain.
+    if (request->HeldBytes() >= held) return;
+  }
+}
+
 FleetRetryBudget& FleetState::RetryBudgetFor(const std::string& service) {
   return retry_budgets.try_emplace(service, settings.bounds).first->second;
 }
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -50,6 +50,8 @@
     return watcher_ == nullptr ? 0 : watcher_->restores();
   }
   const FleetCounters& counters() const { return state_.counters; }
+  /// Returns the bytes of responses that requests in progress hold.
+  size_t held_response_bytes() const { return state_.HeldResponseBytes(); }
   const UpstreamRegistry& registry() const { return state_.registry; }
   /// Address for datagrams from agents.
   Endpoint peer_endpoint() const {
--- a/Source/Core/Router/fleet_router_metrics.cc
+++ b/Source/Core/Router/fleet_router_metrics.cc
@@ -43,6 +43,8 @@
       {"suspects_refused_total",
        "Requests refused because they crash upstreams",
        &FleetCounters::suspects_refused},
+      {"responses_dropped_total", "Responses ended to free memory",
+       &FleetCounters::responses_dropped},
       {"rests_asked_total", "Refusals by which upstreams ask for rest",
        &FleetCounters::rests_asked},
       {"prompt_part_tests_total",
@@ -75,6 +77,10 @@
         return static_cast<double>(state_.registry.malformed_loads());
       });
   AddConnectionMetrics();
+  metrics_.AddGauge(
+      "primrosecove_router_held_response_bytes",
+      "Bytes of responses that requests in progress hold", {},
+      [this] { return static_cast<double>(held_response_bytes()); });
   metrics_.AddCounter(
       "primrosecove_router_store_restores_total",
       "Times that the store was found to be restored from a copy", {},
--- a/Source/Core/Router/fleet_state.h
+++ b/Source/Core/Router/fleet_state.h
@@ -49,6 +49,7 @@
   uint64_t losses_before_response = 0;  ///< Lost before a response began.
   uint64_t suspects_sent = 0;
   uint64_t suspects_refused = 0;
+  uint64_t responses_dropped = 0;  ///< To free memory.
   uint64_t rests_asked = 0;  ///< Refusals by which an upstream asks for rest.
   uint64_t prompt_part_tests = 0;
   uint64_t prompt_parts_refused = 0;
@@ -104,6 +105,12 @@
     return std::chrono::duration_cast<MonotonicTime>(EventLoop::Now() -
                                                      started_at);
   }
+  /// Returns the bytes of responses that all requests hold.
+  size_t HeldResponseBytes() const;
+  /// Ends the largest responses while all take more than their share of the
+  /// host's memory, so that the requests to one faulty upstream don't end the
+  /// process. Does nothing if the memory is not known.
+  void LimitHeldResponses();
   FleetRetryBudget& RetryBudgetFor(const std::string& service);
   /// Returns the demand for a service, or null if all its requests have the
   /// same priority.
--- a/Source/UnitTests/Router/fleet_router_fixture.h
+++ b/Source/UnitTests/Router/fleet_router_fixture.h
@@ -38,7 +38,8 @@
  public:
   explicit RouterFixture(int group,
                          Milliseconds version_bound = Milliseconds(8000),
-                         Milliseconds stop_grace = Milliseconds(8000))
+                         Milliseconds stop_grace = Milliseconds(8000),
+                         uint64_t memory_bytes = 0)
       : group_(group), store(&loop) {
     if (!store.Listen(EndpointAt(1))) FAIL("store");
     store.Put("op/config", MakeConfigJson(1).dump());
@@ -57,6 +58,7 @@
     settings.first_internal_port = 18083;
     settings.store_endpoint = EndpointAt(1);
     settings.max_descriptors = 1000;
+    settings.memory_bytes = memory_bytes;
     settings.bounds.strict_revoke = true;
     settings.bounds.revoke = Milliseconds(1500);
     settings.bounds.config_apply = Milliseconds(600);
--- a/Source/UnitTests/Router/raw_upstreams.h
+++ b/Source/UnitTests/Router/raw_upstreams.h
@@ -13,7 +13,9 @@
 // A router whose service "raw" has scripted servers.
 class RawUpstreams {
  public:
-  RawUpstreams(int group, size_t servers) : fixture(group) {
+  RawUpstreams(int group, size_t servers, uint64_t router_memory_bytes = 0)
+      : fixture(group, Milliseconds(8000), Milliseconds(8000),
+                router_memory_bytes) {
     nlohmann::json config = RouterFixture::MakeConfigJson(2);
     config["routes"].push_back(RouteJson("/raw-once/", "unsafe", "raw", 2));
     config["routes"].push_back(RouteJson("/raw-twice/", "safe", "raw", 2));
--- a/Source/UnitTests/raw_server.h
+++ b/Source/UnitTests/raw_server.h
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 #include <deque>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -74,6 +75,7 @@
     if (self->responses_->empty()) return;
     ScriptedResponse response = self->responses_->front();
     self->responses_->pop_front();
+    self->answered_.insert(bev);
     self->end_ = response.end;
     self->repeated_ = response.repeated;
     self->period_ = response.period;
@@ -85,6 +87,7 @@
     auto* self = static_cast<RawServer*>(arg);
     self->repeat_timer_.Cancel();
     std::erase(self->open_, bev);
+    self->answered_.erase(bev);
     bufferevent_free(bev);
   }
   void Repeat(bufferevent* bev) {
@@ -93,6 +96,8 @@
   }
   static void OnWritten(bufferevent* bev, void* arg) {
     auto* self = static_cast<RawServer*>(arg);
+    // It has not sent a request yet.
+    if (!self->answered_.contains(bev)) return;
     if (!self->repeated_.empty()) {
       if (self->period_ == Milliseconds(0)) return self->Repeat(bev);
       self->repeat_timer_ =
@@ -102,6 +107,7 @@
     End end = std::exchange(self->end_, End::kKeepOpen);
     if (end == End::kKeepOpen) return;
     std::erase(self->open_, bev);
+    self->answered_.erase(bev);
     if (end == End::kClose) return bufferevent_free(bev);
     // A reset discards bytes that the client has not read, so it is delayed.
     self->resets_.push_back(self->loop_->After(Milliseconds(60), [bev] {
@@ -115,6 +121,7 @@
   EventLoop* loop_;
   evconnlistener* listener_;
   std::vector<bufferevent*> open_;
+  std::set<bufferevent*> answered_;  // Connections with a response.
   std::shared_ptr<std::deque<ScriptedResponse>> responses_ =
       std::make_shared<std::deque<ScriptedResponse>>();
   std::vector<Timer> resets_;
