End responses without content after their head

A caller of a streaming route whose upstream sent 204 got the end of a chunked body after the head, which is no answer and would be read as the next one. A response to HEAD could get chunks as well. The other way round, a 304 or 204 that states a length was waited for until the caller's deadline.

Cause: the server wrote the framing that the handler asked for, and the parser took the library's, whatever method and status allow.

No body is written after 204, 304 and to HEAD, and 204 states no length; none is read after 1xx, 204 and 304 (RFC 9112, section 6.3).

--- a/Source/Core/Net/http1_parser.cc
+++ b/Source/Core/Net/http1_parser.cc
@@ -38,17 +38,22 @@
          ToLower(*headers.Find("Transfer-Encoding")) == "chunked";
 }
 
+// Returns whether the status alone ends the message after its head (RFC 9112,
+// section 6.3).
+bool HasNoBody(const http_parser& parser) {
+  constexpr unsigned kFirstFinalStatus = 200;
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  return parser.type == HTTP_RESPONSE &&
+         (parser.status_code < kFirstFinalStatus ||
+          parser.status_code == kNoContent ||
+          parser.status_code == kNotModified);
+}
+
 // Returns whether the message body ends when the connection is closed (RFC
 // 9112, section 6.3).
 bool IsCloseDelimited(const http_parser& parser) {
-  constexpr int kFirstFinalStatus = 200;
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  if (parser.type == HTTP_REQUEST) return false;
-  if (parser.status_code < kFirstFinalStatus ||
-      parser.status_code == kNoContent || parser.status_code == kNotModified) {
-    return false;
-  }
+  if (parser.type == HTTP_REQUEST || HasNoBody(parser)) return false;
   return (parser.flags & F_CHUNKED) == 0 &&
          parser.content_length == std::numeric_limits<uint64_t>::max();
 }
@@ -209,10 +214,11 @@
   if (parser->content_length != std::numeric_limits<uint64_t>::max()) {
     head.content_length = parser->content_length;
   }
-  self->is_chunked_ = (parser->flags & F_CHUNKED) != 0 && !self->skip_body_;
+  bool skips_body = self->skip_body_ || HasNoBody(*parser);
+  self->is_chunked_ = (parser->flags & F_CHUNKED) != 0 && !skips_body;
   if (self->events_.on_head) self->events_.on_head(std::move(head));
   constexpr int kSkipBody = 1;
-  return self->skip_body_ ? kSkipBody : 0;
+  return skips_body ? kSkipBody : 0;
 }
 
 int Http1Parser::OnBody(http_parser* parser, const char* at, size_t n) {
--- a/Source/Core/Net/http1_server.cc
+++ b/Source/Core/Net/http1_server.cc
@@ -40,6 +40,14 @@
   return out.append("\r\n");
 }
 
+constexpr int kNoContent = 204;
+
+// Returns whether a body may follow the head (RFC 9112, section 6.3).
+bool MayHaveBody(std::string_view method, int status) {
+  constexpr int kNotModified = 304;
+  return method != "HEAD" && status != kNoContent && status != kNotModified;
+}
+
 // Returns the number of bytes that wait in the socket.
 size_t BytesInSocket(evutil_socket_t fd) {
   int out = 0;
@@ -421,12 +429,13 @@
   auto connection = connection_.lock();
   if (connection == nullptr || finished_) return;
   started_ = true;
+  has_body_ = MayHaveBody(request_.method, status);
   if (connection->draining()) keep_alive_ = false;
   std::string out = StatusLine(status, reason);
   for (const auto& [name, value] : headers.fields()) {
     out.append(name).append(": ").append(value).append("\r\n");
   }
-  out.append(framing);
+  if (status != kNoContent) out.append(framing);
   if (!keep_alive_) out.append("Connection: close\r\n");
   out.append("\r\n");
   connection->Write(out);
@@ -438,7 +447,7 @@
   if (connection == nullptr || finished_) return;
   SendHead(status, reason, headers,
            "Content-Length: " + std::to_string(body.size()) + "\r\n");
-  if (request_.method != "HEAD") connection->Write(body);
+  if (has_body_) connection->Write(body);
   CompleteResponse();
 }
 
@@ -449,7 +458,8 @@
 
 void Http1Exchange::Write(std::string_view body_data) {
   auto connection = connection_.lock();
-  if (connection == nullptr || finished_ || body_data.empty()) return;
+  if (connection == nullptr || finished_ || !has_body_ || body_data.empty())
+    return;
   char size[20];
   int n = std::snprintf(size, sizeof(size), "%zx\r\n", body_data.size());
   std::string out(size, static_cast<size_t>(n));
@@ -460,7 +470,7 @@
 void Http1Exchange::EndStream() {
   auto connection = connection_.lock();
   if (connection == nullptr || finished_) return;
-  connection->Write("0\r\n\r\n");
+  if (has_body_) connection->Write("0\r\n\r\n");
   CompleteResponse();
 }
 
--- a/Source/Core/Net/http1_server.h
+++ b/Source/Core/Net/http1_server.h
@@ -38,8 +38,9 @@
   /// Sends a complete response. Precondition: nothing has been sent.
   void Respond(int status, std::string_view reason, const HttpHeaders& headers,
                std::string_view body);
-  /// Sends status and headers of a response with a chunked body. Precondition:
-  /// nothing has been sent.
+  /// Sends status and headers of a response with a chunked body, or without one
+  /// if the request or the status allows none. Precondition: nothing has been
+  /// sent.
   void StartStream(int status, std::string_view reason,
                    const HttpHeaders& headers);
   /// Sends data of the body. Precondition: StartStream was called.
@@ -71,6 +72,7 @@
   SteadyTime arrival_;
   bool keep_alive_;
   bool started_ = false;
+  bool has_body_ = true;
   bool finished_ = false;
   std::function<void()> on_disconnect_;
 };
--- a/Source/UnitTests/Net/http1_test.cc
+++ b/Source/UnitTests/Net/http1_test.cc
@@ -326,6 +326,52 @@
   return state.received;
 }
 
+// Guards against bytes of a body where none may follow the head (RFC 9112,
+// section 6.3), which the caller would read as its next response.
+TEST_CASE("a response that has no body leaves the connection in order",
+          "[http1]") {
+  struct Row {
+    const char* method;
+    int status;
+    bool streamed;
+  };
+  const Row rows[] = {{"GET", 204, true},  {"GET", 204, false},
+                      {"GET", 304, true},  {"GET", 304, false},
+                      {"HEAD", 200, true}, {"HEAD", 200, false}};
+  for (const Row& row : rows) {
+    CAPTURE(row.method, row.status, row.streamed);
+    EventLoop loop;
+    Http1Server server(&loop, {}, [&](const auto& exchange) {
+      if (exchange->request().target == "/next")
+        return exchange->Respond(200, "OK", {}, "next");
+      if (!row.streamed) return exchange->Respond(row.status, "X", {}, "body");
+      exchange->StartStream(row.status, "X", {});
+      exchange->Write("body");
+      exchange->EndStream();
+    });
+    REQUIRE(server.Listen(TestEndpoint(95, 2)));
+    Http1Client client(&loop);
+    for (const char* target : {"/first", "/next"}) {
+      std::optional<CallResult> result;
+      CallEvents events;
+      events.on_end = [&](CallResult it) { result = std::move(it); };
+      HttpRequest request;
+      request.method = target == std::string("/first") ? row.method : "GET";
+      request.target = target;
+      auto call = client.Send(TestEndpoint(95, 2), request,
+                              {.timeout = Milliseconds(400)}, events);
+      RunUntil(&loop, [&] { return result.has_value(); });
+      CHECK(result->end == CallEnd::kComplete);
+      CHECK(result->body == (target == std::string("/next") ? "next" : ""));
+      if (row.status == 204 && target == std::string("/first")) {
+        CHECK_FALSE(result->head->headers.Find("Content-Length"));
+        CHECK_FALSE(result->head->headers.Find("Transfer-Encoding"));
+      }
+    }
+    CHECK(client.stats().connections_opened == 1);
+  }
+}
+
 // Guards against a head that takes many times its size in memory, because each
 // of its fields takes that of two strings.
 TEST_CASE("the number of header fields is limited", "[http1]") {
