--- a/Source/Core/Agent/admission_gate.cc
+++ b/Source/Core/Agent/admission_gate.cc
@@ -324,7 +324,7 @@
   });
   auto remaining = std::chrono::duration_cast<Milliseconds>(pending->deadline -
                                                             EventLoop::Now());
-  pending->call = client_.Send(upstream_, std::move(req),
+  pending->call = client_.Send(upstream_, req,
                                {.timeout = std::max(remaining, Milliseconds(1)),
                                 .max_body_bytes = kMaxResponseBytes},
                                std::move(callbacks));
--- a/Source/Core/Platform/engine_client.cc
+++ b/Source/Core/Platform/engine_client.cc
@@ -57,8 +57,8 @@
   };
   HttpRequest req{
       .method = "GET", .target = "/orders/state", .headers = {}, .body = {}};
-  read_call_ = client_.Send(endpoint_, std::move(req),
-                            {.timeout = kReadStateTimeout}, callbacks);
+  read_call_ =
+      client_.Send(endpoint_, req, {.timeout = kReadStateTimeout}, callbacks);
 }
 
 void HttpEngineClient::Load(const EngineWeights& weights, uint64_t fencing,
@@ -95,8 +95,8 @@
   HttpRequest req{
       .method = "POST", .target = path, .headers = {}, .body = std::move(body)};
   req.headers.Add("Content-Type", "application/json");
-  order_call_ = client_.Send(endpoint_, std::move(req),
-                             {.timeout = load_timeout_}, callbacks);
+  order_call_ =
+      client_.Send(endpoint_, req, {.timeout = load_timeout_}, callbacks);
 }
 
 }  // namespace primrosecove
--- a/Source/Core/Platform/etcd_store.cc
+++ b/Source/Core/Platform/etcd_store.cc
@@ -175,7 +175,7 @@
                 "key-value service: " + failure.error.message));
   };
   open_calls_[id] = client_.Send(
-      endpoints_[current_endpoint_], std::move(req),
+      endpoints_[current_endpoint_], req,
       {.timeout = call_timeout_, .max_body_bytes = kMaxResponseBytes},
       std::move(callbacks));
 }
@@ -266,7 +266,7 @@
     raw->End(failure.error.message);
   };
   watch->call = client_.Send(
-      endpoints_[current_endpoint_], std::move(req),
+      endpoints_[current_endpoint_], req,
       {.timeout = Milliseconds(0), .max_body_bytes = kMaxWatchBodyBytes},
       std::move(callbacks));
   return watch;
--- a/Source/Core/Platform/host_list.cc
+++ b/Source/Core/Platform/host_list.cc
@@ -48,8 +48,7 @@
   };
   HttpRequest req{
       .method = "GET", .target = "/hosts", .headers = {}, .body = {}};
-  call_ = client_.Send(endpoint_, std::move(req), {.timeout = kFetchTimeout},
-                       callbacks);
+  call_ = client_.Send(endpoint_, req, {.timeout = kFetchTimeout}, callbacks);
 }
 
 }  // namespace primrosecove
--- a/Source/Core/Platform/http_origin.cc
+++ b/Source/Core/Platform/http_origin.cc
@@ -31,7 +31,7 @@
                                                        Callbacks callbacks) {
   HttpRequest req;
   req.target = "/manifests/" + manifest.ToHex();
-  return Fetch(std::move(req), 200, kUnknownSize, std::move(callbacks));
+  return Fetch(req, 200, kUnknownSize, std::move(callbacks));
 }
 
 std::unique_ptr<OriginFetch> HttpOrigin::FetchRange(const Digest& manifest,
@@ -42,10 +42,10 @@
   req.target = "/weights/" + manifest.ToHex();
   req.headers.Add("Range", "bytes=" + std::to_string(offset) + "-" +
                                std::to_string(offset + size - 1));
-  return Fetch(std::move(req), 206, size, std::move(callbacks));
+  return Fetch(req, 206, size, std::move(callbacks));
 }
 
-std::unique_ptr<OriginFetch> HttpOrigin::Fetch(HttpRequest request,
+std::unique_ptr<OriginFetch> HttpOrigin::Fetch(const HttpRequest& request,
                                                int expected_status,
                                                uint64_t expected_size,
                                                Callbacks callbacks) {
@@ -79,7 +79,7 @@
   };
   uint64_t limit =
       expected_size == kUnknownSize ? kMaxManifestBytes : expected_size;
-  raw->call = client_.Send(endpoint_, std::move(request),
+  raw->call = client_.Send(endpoint_, request,
                            {.timeout = timeout_, .max_body_bytes = limit},
                            std::move(http));
   return fetch;
--- a/Source/Core/Platform/http_origin.h
+++ b/Source/Core/Platform/http_origin.h
@@ -21,7 +21,8 @@
   uint64_t bytes_received() const override { return *bytes_received_; }
 
  private:
-  std::unique_ptr<OriginFetch> Fetch(HttpRequest request, int expected_status,
+  std::unique_ptr<OriginFetch> Fetch(const HttpRequest& request,
+                                     int expected_status,
                                      uint64_t expected_size,
                                      Callbacks callbacks);
 
--- a/Source/Core/Router/request_task.cc
+++ b/Source/Core/Router/request_task.cc
@@ -137,7 +137,7 @@
   callbacks.on_response = [self](const HttpResponse&) { self->OnResponse(); };
   callbacks.on_failure = [self](const HttpFailure& it) { self->OnFailure(it); };
   call_ = context_.client->Send(
-      upstream_endpoint_, std::move(req),
+      upstream_endpoint_, req,
       {.timeout = Milliseconds(0), .max_body_bytes = kMaxResponseBytes},
       std::move(callbacks));
 }
@@ -258,7 +258,7 @@
   auto old_call = std::shared_ptr<HttpCall>(std::move(call_));
   context_.loop->Post([old_call] {});
   call_ =
-      context_.client->Send(upstream_endpoint_, std::move(req),
+      context_.client->Send(upstream_endpoint_, req,
                             {.timeout = kRevokeTimeout}, std::move(callbacks));
 }
 
--- a/Source/Lab/engine.cc
+++ b/Source/Lab/engine.cc
@@ -155,7 +155,7 @@
   HttpRequest req;
   req.target = "/weights/" + manifest.value().ToHex();
   order->call =
-      client_.Send(source.value(), std::move(req),
+      client_.Send(source.value(), req,
                    {.timeout = kLoadFetchTimeout, .max_body_bytes = 1ULL << 32},
                    std::move(callbacks));
 }
--- a/Source/Lab/load_generator.cc
+++ b/Source/Lab/load_generator.cc
@@ -189,10 +189,9 @@
   };
   const Endpoint& router =
       options_.routers[next_router_++ % options_.routers.size()];
-  call->http_call =
-      client_.Send(router, std::move(req),
-                   {.timeout = Milliseconds(options_.timeout_ms + 5000)},
-                   std::move(callbacks));
+  call->http_call = client_.Send(
+      router, req, {.timeout = Milliseconds(options_.timeout_ms + 5000)},
+      std::move(callbacks));
 }
 
 void LoadGenerator::OnRequestEnd(const std::shared_ptr<Call>& call, int status,
--- a/Source/UnitTests/Agent/admission_gate_test.cc
+++ b/Source/UnitTests/Agent/admission_gate_test.cc
@@ -64,7 +64,7 @@
     if (!execute_once_id.empty() && has_idempotency_key)
       req.headers.Set(kHasIdempotencyKeyHeader, "1");
     req.headers.Set(kAuthHeader, SignRequest(keys, req, WallClockMs()));
-    return SendRaw(std::move(req));
+    return SendRaw(req);
   }
 
   std::shared_ptr<PendingCall> SendRaw(HttpRequest req) {
@@ -77,7 +77,7 @@
       call->failure = it;
     };
     calls.push_back(
-        client.Send(gate_endpoint, std::move(req), {}, std::move(callbacks)));
+        client.Send(gate_endpoint, req, {}, std::move(callbacks)));
     return call;
   }
 
--- a/Source/UnitTests/Router/response_memory_test.cc
+++ b/Source/UnitTests/Router/response_memory_test.cc
@@ -17,6 +17,7 @@
   RouterFixture& fixture = upstreams->fixture;
   std::vector<std::optional<CallResult>> results(kRequests);
   std::vector<std::unique_ptr<Http1Call>> calls;
+  calls.reserve(results.size());
   for (auto& result : results) {
     calls.push_back(fixture.StartRequest(path, kApiKey, {}, &result));
   }
--- a/Source/UnitTests/Router/router_test.cc
+++ b/Source/UnitTests/Router/router_test.cc
@@ -138,7 +138,7 @@
       pending->failure = it;
     };
     calls.push_back(
-        caller.Send(router_endpoint, std::move(req), {}, std::move(callbacks)));
+        caller.Send(router_endpoint, req, {}, std::move(callbacks)));
     return pending;
   }
 
