--- a/Source/UnitTests/Agent/admission_gate_test.cc
+++ b/Source/UnitTests/Agent/admission_gate_test.cc
@@ -76,8 +76,7 @@
     callbacks.on_failure = [call](const HttpFailure& it) {
       call->failure = it;
     };
-    calls.push_back(
-        client.Send(gate_endpoint, req, {}, std::move(callbacks)));
+    calls.push_back(client.Send(gate_endpoint, req, {}, std::move(callbacks)));
     return call;
   }
 
