--- a/Source/Core/Net/http1_parser.cc
+++ b/Source/Core/Net/http1_parser.cc
@@ -81,8 +81,7 @@
 }
 
 Http1Parser::Http1Parser(Kind kind, uint32_t max_head_bytes, Events events)
-    : head_grammar_(kind == Kind::kRequest ? HeadGrammar::Kind::kRequest
-                                           : HeadGrammar::Kind::kResponse),
+    : head_grammar_(kind),
       max_head_bytes_(max_head_bytes),
       events_(std::move(events)) {
   http_parser_init(&parser_,
--- a/Source/Core/Net/http1_parser.h
+++ b/Source/Core/Net/http1_parser.h
@@ -33,7 +33,7 @@
 /// Parses the successive messages of one connection. Not thread safe.
 class Http1Parser {
  public:
-  enum class Kind { kRequest, kResponse };
+  using Kind = HeadGrammar::Kind;
   /// Limits the fields of a head, each of which takes more memory than its
   /// bytes.
   static constexpr size_t kMaxFields = 256;
--- a/Source/Core/Net/http_grammar.cc
+++ b/Source/Core/Net/http_grammar.cc
@@ -11,6 +11,22 @@
 
 bool IsLineEnd(char c) { return c == '\r' || c == '\n'; }
 
+// Returns whether `c` may be part of a token, such as the name of a field (RFC
+// 9110, section 5.6.2).
+bool IsTokenByte(char c) {
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return IsDigit(c) || (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') ||
+         kMarks.find(c) != std::string_view::npos;
+}
+
+// Returns whether `c` may be part of a field value or a reason phrase: tab,
+// blank, a visible character or a byte over 127 (RFC 9110, section 5.5).
+bool IsTextByte(char c) {
+  constexpr unsigned char kDelete = 0x7f;
+  auto byte = static_cast<unsigned char>(c);
+  return c == '\t' || (byte >= ' ' && byte != kDelete);
+}
+
 // Returns whether `c` may be part of a request line, whose parts consist of
 // visible characters (RFC 9112, section 3).
 bool IsRequestLineByte(char c) {
@@ -28,18 +44,6 @@
 
 }  // namespace
 
-bool IsTokenByte(char c) {
-  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
-  return IsDigit(c) || (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') ||
-         kMarks.find(c) != std::string_view::npos;
-}
-
-bool IsTextByte(char c) {
-  constexpr unsigned char kDelete = 0x7f;
-  auto byte = static_cast<unsigned char>(c);
-  return c == '\t' || (byte >= ' ' && byte != kDelete);
-}
-
 void HeadGrammar::Reset() {
   state_ = State::kStartLine;
   start_line_bytes_ = 0;
--- a/Source/Core/Net/http_grammar.h
+++ b/Source/Core/Net/http_grammar.h
@@ -8,13 +8,6 @@
 
 namespace primrosecove {
 
-/// Returns whether `c` may be part of a token, such as the name of a field (RFC
-/// 9110, section 5.6.2). Thread safe, like the next function.
-bool IsTokenByte(char c);
-/// Returns whether `c` may be part of a field value or a reason phrase: tab,
-/// blank, a visible character or a byte over 127 (RFC 9110, section 5.5).
-bool IsTextByte(char c);
-
 /// Checks the successive bytes of a message's head. Not thread safe.
 class HeadGrammar {
  public:
@@ -50,9 +43,8 @@
  public:
   /// Begins with the size of the first chunk.
   void Reset();
-  /// Checks the bytes between two pieces of data, all of them if `bytes` ends
-  /// where data begins. Returns false if the body is malformed. Precondition:
-  /// no data of a chunk is missing before `bytes`, if they are not empty.
+  /// Checks bytes outside the chunks' data, and returns false if they are
+  /// malformed. Precondition: the data of the chunk before them is complete.
   bool Check(std::string_view bytes);
 
  private:
