Confirm a configuration only once the store's newest change is read

Cause: a response to a watch may end before the store's newest change. Each one confirmed the deployment as of its request, also the first part of a backlog. Neither the kind of absence nor the time of the confirmation matters: resets and silence broke it as well.

While watches bring changes, the store's revision is read about once in a fifth of the maximum age, and the time of that call is confirmed once the revision is reached. Behind it, the next watch is sent at once. Backlogs are logged and counted.

--- a/Source/Core/Fleet/deployment_source.h
+++ b/Source/Core/Fleet/deployment_source.h
@@ -22,9 +22,11 @@
 struct SourceResult {
   SourceStatus status = SourceStatus::kUnavailable;
   std::vector<DeploymentChange> changes;
-  /// Of the store when it responded. The era is known also of a failed call
-  /// that was answered; the revision only with kOk.
+  /// Up to where the store's changes are contained. The era is known also of a
+  /// failed call that was answered; the revision only with kOk.
   StorePosition position;
+  /// The response held no items, neither readable nor unreadable ones.
+  bool is_empty = false;
   std::string next_page;  ///< Token of the next page; empty after the last.
   std::string why;        ///< Reason of a failure, for logs.
 };
@@ -37,10 +39,14 @@
   virtual ~DeploymentSource() = default;
   /// Reads a page of the current deployment; `page` is empty for the first.
   virtual void ReadPage(const std::string& page, Callback callback) = 0;
-  /// Waits at most `timeout` for changes after `position`. A result of the same
-  /// era without changes confirms that there were none when the call was sent.
+  /// Waits at most `timeout` for changes after `position`. An empty result of
+  /// the same era confirms that there were none when the call was sent. Any
+  /// other result may end before the store's newest change.
   virtual void Watch(const StorePosition& position, Milliseconds timeout,
                      Callback callback) = 0;
+  /// Reads only the position of the store's newest change. The result's
+  /// position contains all changes of before the call.
+  virtual void ReadNewestPosition(Callback callback) = 0;
 };
 
 }  // namespace primrosecove
--- a/Source/Core/Fleet/deployment_watcher.cc
+++ b/Source/Core/Fleet/deployment_watcher.cc
@@ -13,8 +13,9 @@
 // dozen a watch returns at once. Watches at a shorter interval cost calls
 // without delivering anything that is needed sooner.
 constexpr Milliseconds kWatchInterval{400};
-// A watch that returns no changes confirms that the configuration is current.
-// This many fit into the maximum age, so that losing one does no harm.
+// A watch that returns no changes confirms that the deployment is current; in a
+// busy fleet the store's position does. This many confirmations fit into the
+// maximum age, so that losing one does no harm.
 constexpr int kConfirmationsPerMaxAge = 5;
 constexpr Milliseconds kMaxWatchTimeout{1000};
 constexpr Milliseconds kMinWatchTimeout{100};
@@ -88,6 +89,7 @@
 }
 
 void DeploymentWatcher::ReadPage(const std::string& page) {
+  newest_.reset();
   requested_at_ = BootNow();
   if (page.empty()) {
     snapshot_requested_at_ = requested_at_;
@@ -138,7 +140,13 @@
                        << position_.revision
                        << " era=" << position_.era.value_or(0)
                        << " upstreams=" << snapshot_upstreams_.size());
-  events_.on_synced(snapshot_requested_at_, position_);
+  Confirm(snapshot_requested_at_);
+  events_.on_synced(position_);
+}
+
+void DeploymentWatcher::Confirm(BootTime confirmed_at) {
+  confirmed_at_ = std::max(confirmed_at_, confirmed_at);
+  events_.on_confirmed(confirmed_at);
 }
 
 void DeploymentWatcher::Watch() {
@@ -168,13 +176,57 @@
   MarkReachable();
   for (const DeploymentChange& change : result.changes) Publish(change);
   position_ = std::max(position_, {era_, result.position.revision});
-  events_.on_synced(requested_at_, position_);
+  // A result with changes may end anywhere in a backlog.
+  if (result.is_empty) {
+    newest_.reset();
+    Confirm(requested_at_);
+  } else if (newest_ && position_ >= newest_->position) {
+    PC_INFO(kConfig, "event=backlog_read revision=" << position_.revision);
+    Confirm(std::exchange(newest_, std::nullopt)->at);
+  }
+  events_.on_synced(position_);
+  Continue();
+}
+
+void DeploymentWatcher::Continue() {
+  if (newest_) return Watch();
+  if (BootNow() - confirmed_at_ >= watch_timeout_) return ReadNewestPosition();
   auto elapsed = std::chrono::duration_cast<Milliseconds>(EventLoop::Now() -
                                                           watch_started_);
   timer_ = loop_->After(std::max(watch_interval_ - elapsed, Milliseconds(0)),
                         [this] { Watch(); });
 }
 
+void DeploymentWatcher::ReadNewestPosition() {
+  requested_at_ = BootNow();
+  source_->ReadNewestPosition(
+      [this](SourceResult result) { OnNewestPosition(std::move(result)); });
+}
+
+void DeploymentWatcher::OnNewestPosition(SourceResult result) {
+  EraOrder order = RecordEra(result);
+  if (order == EraOrder::kNew) return ReadAgain(result);
+  if (order == EraOrder::kEarlier) result = MakeLateResult();
+  if (result.status != SourceStatus::kOk) {
+    return ScheduleRetry(result.why, [this] { Watch(); });
+  }
+  StorePosition newest{era_, result.position.revision};
+  if (newest == position_) {
+    Confirm(requested_at_);
+    return Continue();
+  }
+  // A position before the one that was read confirms nothing; the next watch
+  // shows what has become of the changes in between.
+  if (newest > position_) {
+    ++backlogs_;
+    PC_INFO(kConfig,
+            "event=backlog revision=" << position_.revision
+                                      << " newest=" << newest.revision);
+    newest_ = {newest, requested_at_};
+  }
+  Watch();
+}
+
 void DeploymentWatcher::Publish(const DeploymentChange& change) {
   if (const auto* it = std::get_if<UpstreamChange>(&change)) {
     if (it->record || !it->unusable_reason.empty()) {
--- a/Source/Core/Fleet/deployment_watcher.h
+++ b/Source/Core/Fleet/deployment_watcher.h
@@ -21,10 +21,12 @@
  public:
   struct Events {
     std::function<void(const DeploymentChange&)> on_change;
-    /// Every change up to `position` has been passed to on_change. The
-    /// deployment was current at `requested_at`, when the request was sent.
-    std::function<void(BootTime requested_at, const StorePosition& position)>
-        on_synced;
+    /// Everything that was in the store at `confirmed_at` has been passed to
+    /// on_change.
+    std::function<void(BootTime confirmed_at)> on_confirmed;
+    /// Every change up to `position` has been passed to on_change. The store
+    /// may hold later ones.
+    std::function<void(const StorePosition& position)> on_synced;
     /// The store has been restored from a copy and lacks the latest changes.
     /// What it holds now is passed to on_change next.
     std::function<void()> on_restored;
@@ -32,8 +34,8 @@
     std::function<void(bool reachable)> on_reachable;
   };
 
-  /// Precondition: `loop` and `source` outlive this object. on_synced is called
-  /// several times within `max_config_age`, the age from which on the
+  /// Precondition: `loop` and `source` outlive this object. on_confirmed is
+  /// called several times within `max_config_age`, the age from which on the
   /// configuration may no longer be used without restrictions.
   DeploymentWatcher(EventLoop* loop, DeploymentSource* source,
                     Milliseconds max_config_age, Events events);
@@ -45,6 +47,9 @@
   const StorePosition& position() const { return position_; }
   /// Returns how often the store was found to be restored.
   uint64_t restores() const { return restores_; }
+  /// Returns how often the store was found to hold changes beyond those that a
+  /// watch had delivered.
+  uint64_t backlogs() const { return backlogs_; }
 
  private:
   // How the era of a response relates to the latest one.
@@ -58,6 +63,11 @@
   void CompleteSnapshot();
   void Watch();
   void OnChanges(SourceResult result);
+  // Starts the next watch, or reads the store's position before.
+  void Continue();
+  void ReadNewestPosition();
+  void OnNewestPosition(SourceResult result);
+  void Confirm(BootTime confirmed_at);
   void Publish(const DeploymentChange& change);
   void ScheduleRetry(const std::string& why, std::function<void()> operation);
   void MarkReachable();
@@ -71,9 +81,17 @@
   std::optional<uint64_t> era_;  // The latest one that a response has stated.
   std::optional<StorePosition> snapshot_position_;  // Of the first page.
   uint64_t restores_ = 0;
+  uint64_t backlogs_ = 0;
   BootTime requested_at_{0};           // of the call in progress
   BootTime snapshot_requested_at_{0};  // of the first page
   SteadyTime watch_started_;
+  // A position that the store had at a time, which has not been reached yet.
+  struct PositionAtTime {
+    StorePosition position;
+    BootTime at{0};
+  };
+  std::optional<PositionAtTime> newest_;
+  BootTime confirmed_at_{0};                    // Of the latest confirmation.
   std::set<std::string> known_upstreams_;       // ids
   std::set<std::string> snapshot_upstreams_;    // ids read so far
   std::set<std::string> known_evacuations_;     // zones
--- a/Source/Core/Fleet/freshness.cc
+++ b/Source/Core/Fleet/freshness.cc
@@ -21,9 +21,9 @@
   return std::chrono::seconds(ts.tv_sec) + std::chrono::nanoseconds(ts.tv_nsec);
 }
 
-void ConfigFreshness::Confirm(BootTime requested_at) {
-  if (!confirmed_at_ || requested_at > *confirmed_at_) {
-    confirmed_at_ = requested_at;
+void ConfigFreshness::Confirm(BootTime confirmed_at) {
+  if (!confirmed_at_ || confirmed_at > *confirmed_at_) {
+    confirmed_at_ = confirmed_at;
   }
 }
 
--- a/Source/Core/Fleet/freshness.h
+++ b/Source/Core/Fleet/freshness.h
@@ -29,9 +29,9 @@
     strict_ = bounds.strict_revoke;
   }
 
-  /// Records that the current configuration was the newest at `requested_at`,
-  /// when the request to the store was sent. Ignores older confirmations.
-  void Confirm(BootTime requested_at);
+  /// Records that the current configuration was the newest at `confirmed_at`.
+  /// Ignores older confirmations.
+  void Confirm(BootTime confirmed_at);
   /// Returns the age of the latest confirmation, if there was one.
   std::optional<Milliseconds> Age(BootTime now) const;
   /// Whether a request may run on its key: a key revoked right after the latest
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -196,9 +196,8 @@
                                                     settings.store_endpoint);
   DeploymentWatcher::Events events;
   events.on_change = [this](const DeploymentChange& it) { ApplyChange(it); };
-  events.on_synced = [this](BootTime requested_at, const StorePosition&) {
-    OnSynced(requested_at);
-  };
+  events.on_confirmed = [this](BootTime at) { OnDeploymentConfirmed(at); };
+  events.on_synced = [this](const StorePosition&) { OnSynced(); };
   events.on_restored = [this] { OnStoreRestored(); };
   events.on_reachable = [this](bool it) { OnStoreReachable(it); };
   watcher_ = std::make_unique<DeploymentWatcher>(
@@ -349,11 +348,14 @@
   return false;
 }
 
-void FleetRouter::OnSynced(BootTime requested_at) {
-  state_.deployment_read = true;
+void FleetRouter::OnDeploymentConfirmed(BootTime confirmed_at) {
   // A store that lacks the configuration in force may lack later ones, too.
-  bool confirms = state_.routes != nullptr && !IsStoreBehind();
-  if (confirms) state_.freshness.Confirm(requested_at);
+  if (state_.routes == nullptr || IsStoreBehind()) return;
+  state_.freshness.Confirm(confirmed_at);
+}
+
+void FleetRouter::OnSynced() {
+  state_.deployment_read = true;
   if (update_due_ || remote_update_due_)
     SendDeploymentDigests(remote_update_due_);
 }
--- a/Source/Core/Router/fleet_router.h
+++ b/Source/Core/Router/fleet_router.h
@@ -49,6 +49,11 @@
   uint64_t store_restores() const {
     return watcher_ == nullptr ? 0 : watcher_->restores();
   }
+  /// Returns how often the store held changes beyond those of its last response
+  /// to a watch.
+  uint64_t store_backlogs() const {
+    return watcher_ == nullptr ? 0 : watcher_->backlogs();
+  }
   const FleetCounters& counters() const { return state_.counters; }
   /// Returns the bytes of responses that requests in progress hold.
   size_t held_response_bytes() const { return state_.HeldResponseBytes(); }
@@ -77,7 +82,8 @@
   void HandleMetrics(std::shared_ptr<Http1Exchange> exchange);
   void ApplyChange(const DeploymentChange& change);
   void ApplyConfig(const FleetConfig& config);
-  void OnSynced(BootTime requested_at);
+  void OnDeploymentConfirmed(BootTime confirmed_at);
+  void OnSynced();
   // Returns whether the restored store lacks the configuration in force.
   bool IsStoreBehind();
   void OnStoreRestored();
--- a/Source/Core/Router/fleet_router_metrics.cc
+++ b/Source/Core/Router/fleet_router_metrics.cc
@@ -85,6 +85,10 @@
       "primrosecove_router_store_restores_total",
       "Times that the store was found to be restored from a copy", {},
       [this] { return static_cast<double>(store_restores()); });
+  metrics_.AddCounter(
+      "primrosecove_router_store_backlogs_total",
+      "Times that the store held changes beyond those of its last response", {},
+      [this] { return static_cast<double>(store_backlogs()); });
   metrics_.AddGauge(
       "primrosecove_router_config_version",
       "Version of the configuration in force", {}, [this] {
--- a/Source/UnitTests/Platform/slow_store_test.cc
+++ b/Source/UnitTests/Platform/slow_store_test.cc
@@ -47,7 +47,8 @@
     bool lost = false;
     DeploymentWatcher::Events events;
     events.on_change = [](const DeploymentChange&) {};
-    events.on_synced = [&](BootTime, const StorePosition&) { synced = true; };
+    events.on_confirmed = [](BootTime) {};
+    events.on_synced = [&](const StorePosition&) { synced = true; };
     events.on_restored = [] {};
     events.on_reachable = [&](bool reachable) { lost = !reachable; };
     DeploymentWatcher watcher(&loop, &source, kMaxConfigAge, std::move(events));
--- a/Source/UnitTests/Platform/store_restore_test.cc
+++ b/Source/UnitTests/Platform/store_restore_test.cc
@@ -65,7 +65,8 @@
   void Start() {
     DeploymentWatcher::Events events;
     events.on_change = [this](const DeploymentChange& it) { Apply(it); };
-    events.on_synced = [this](BootTime, const StorePosition& it) {
+    events.on_confirmed = [](BootTime) {};
+    events.on_synced = [this](const StorePosition& it) {
       synced = it;
       ++syncs;
     };
@@ -278,9 +279,11 @@
     Http1Client client(&loop);
     StoreSource source(&client, TestEndpoint(kGroup, 2));
     int syncs = 0;
+    int confirmations = 0;
     DeploymentWatcher::Events events;
     events.on_change = [](const DeploymentChange&) {};
-    events.on_synced = [&](BootTime, const StorePosition&) { ++syncs; };
+    events.on_confirmed = [&](BootTime) { ++confirmations; };
+    events.on_synced = [&](const StorePosition&) { ++syncs; };
     events.on_restored = [] {};
     events.on_reachable = [](bool) {};
     DeploymentWatcher watcher(&loop, &source, kMaxConfigAge, std::move(events));
@@ -290,6 +293,7 @@
     RunUntil(&loop, [&] { return syncs == 1; });
     RunUntil(&loop, [&] { return !watcher.reachable(); });
     CHECK(syncs == 1);
+    CHECK(confirmations == 1);
     CHECK(watcher.restores() == 0);
   }
 }
