Reject manifests that do not describe the weights as configured

Callers: answers made with incomplete weights. With a manifest that lacked its last hash, agents staged all chunks but one, and the engines loaded them.

Cause: a copy was whole by the count of its own manifest. The number and size of chunks in the configuration, and the model and version that a manifest states, were compared with nothing.

Change: a manifest, from the origin or a peer, counts only if it agrees with what was asked for and with the configuration. Others are counted, logged and asked for again.

--- a/Source/Core/Agent/fleet_agent.cc
+++ b/Source/Core/Agent/fleet_agent.cc
@@ -75,6 +75,9 @@
        [this] { return stager_->sent_bytes(); }},
       {"corrupt_pieces_total", "Pieces that were not what their digest says",
        [&transfers] { return transfers.corrupt_chunks; }},
+      {"rejected_manifests_total",
+       "Manifests that do not describe the weights as the configuration does",
+       [&transfers] { return transfers.rejected_manifests; }},
       {"orders_total", "Orders to load",
        [this] { return stager_->counters().orders; }},
   };
--- a/Source/Core/Agent/weight_transfer.cc
+++ b/Source/Core/Agent/weight_transfer.cc
@@ -116,26 +116,54 @@
   manifest_in_flight_ = true;
   std::string source = ChooseManifestSource();
   const FleetMember* peer = FindMember(source);
-  if (peer == nullptr || source == *context_.self) {
-    auto on_manifest = [this](Result<platform::WeightManifest> manifest) {
-      if (!manifest) return OnManifest(manifest.error(), "origin");
-      OnManifest(std::move(manifest.value().digests), "origin");
-    };
-    return origin_.FetchManifest(context_.update->origin, copy_.model(),
-                                 copy_.version(), on_manifest);
+  if (peer == nullptr || source == *context_.self)
+    return FetchManifestFromOrigin();
+  FetchManifestFromPeer(*peer);
+}
+
+void WeightTransfer::FetchManifestFromOrigin() {
+  auto on_manifest = [this](Result<platform::WeightManifest> manifest) {
+    if (!manifest) return RetryManifest(manifest.error(), "origin");
+    OnManifest(ReadManifest(manifest.value()), "origin");
+  };
+  origin_.FetchManifest(context_.update->origin, copy_.model(), copy_.version(),
+                        on_manifest);
+}
+
+Result<std::vector<Digest>> WeightTransfer::ReadManifest(
+    const platform::WeightManifest& manifest) const {
+  const DeploymentUpdate& update = *context_.update;
+  if (manifest.model != copy_.model() || manifest.version != copy_.version()) {
+    return Fail(ErrorCode::kInvalidArgument,
+                "the manifest describes " + manifest.model + " version " +
+                    std::to_string(manifest.version));
   }
+  bool has_chunk_bytes = update.chunk_bytes != 0;
+  if (has_chunk_bytes &&
+      manifest.chunk_bytes != static_cast<int64_t>(update.chunk_bytes)) {
+    return Fail(ErrorCode::kInvalidArgument,
+                "the manifest states chunks of " +
+                    std::to_string(manifest.chunk_bytes) +
+                    " bytes, the configuration " +
+                    std::to_string(update.chunk_bytes));
+  }
+  return ParseDigests(manifest.digests, update.chunks);
+}
+
+void WeightTransfer::FetchManifestFromPeer(const FleetMember& peer) {
   HttpRequest request;
   request.target = PeerWeightsPath(copy_.model(), copy_.version());
   auto on_manifest = [this](Result<HttpResponse> response) {
-    if (!response) return OnManifest(response.error(), "peer");
+    if (!response) return RetryManifest(response.error(), "peer");
     if (response.value().status != 200) {
-      return OnManifest(
-          Fail(ErrorCode::kNotFound, "the peer does not have the manifest yet"),
+      return RetryManifest(
+          {ErrorCode::kNotFound, "the peer does not have the manifest yet"},
           "peer");
     }
-    OnManifest(Split(response.value().body, '\n'), "peer");
+    std::vector<std::string> hex = Split(response.value().body, '\n');
+    OnManifest(ParseDigests(hex, context_.update->chunks), "peer");
   };
-  peer_calls_.Send(PeerEndpoint(*context_.settings, peer->upstream.ip), request,
+  peer_calls_.Send(PeerEndpoint(*context_.settings, peer.upstream.ip), request,
                    kPeerManifestTimeout, on_manifest);
 }
 
@@ -161,25 +189,14 @@
   return peers[index(random_engine_)];
 }
 
-void WeightTransfer::OnManifest(Result<std::vector<std::string>> digests,
+void WeightTransfer::OnManifest(Result<std::vector<Digest>> digests,
                                 const char* source) {
-  manifest_in_flight_ = false;
-  std::string why = digests ? "" : digests.error().message;
-  if (digests) {
-    auto set = copy_.SetDigests(digests.value());
-    if (!set) why = set.error().message;
-  }
-  if (!why.empty()) {
-    ++manifest_tries_;
-    if (manifest_tries_ % kManifestTriesPerLogLine == 0) {
-      PC_WARN(kWeights, "event=manifest_missing version="
-                            << copy_.version() << " source=" << source
-                            << " why=\"" << why << "\"");
-    }
-    retry_timer_ =
-        context_.loop->After(RetryDelay(), [this] { FetchManifest(); });
-    return;
+  if (!digests) {
+    ++context_.counters->rejected_manifests;
+    return RetryManifest(digests.error(), source);
   }
+  manifest_in_flight_ = false;
+  copy_.SetDigests(std::move(digests).value());
   PC_INFO(kWeights, "event=manifest_read version=" << copy_.version()
                                                    << " pieces=" << copy_.size()
                                                    << " source=" << source);
@@ -187,6 +204,19 @@
   ReadEngine();
 }
 
+void WeightTransfer::RetryManifest(const Error& error, const char* source) {
+  manifest_in_flight_ = false;
+  if (manifest_tries_++ % kManifestTriesPerLogLine == 0) {
+    PC_WARN(kWeights,
+            "event=manifest_missing version="
+                << copy_.version() << " source=" << source
+                << " rejected=" << context_.counters->rejected_manifests
+                << " why=\"" << error.message << "\"");
+  }
+  retry_timer_ =
+      context_.loop->After(RetryDelay(), [this] { FetchManifest(); });
+}
+
 void WeightTransfer::ReadEngine() {
   // If the engine has none of the first chunks, it has no other chunks either.
   if (engine_missing_ >= kMaxConcurrentEngineReads) engine_next_ = copy_.size();
--- a/Source/Core/Agent/weight_transfer.h
+++ b/Source/Core/Agent/weight_transfer.h
@@ -25,6 +25,7 @@
   uint64_t origin_bytes = 0;
   uint64_t peer_bytes = 0;
   uint64_t corrupt_chunks = 0;
+  uint64_t rejected_manifests = 0;
 };
 
 /// State that all transfers of an agent share. All pointers outlive them.
@@ -67,10 +68,17 @@
   ChunkPlanInput MakePlanInput();
   const FleetMember* FindMember(const std::string& id) const;
   void FetchManifest();
+  void FetchManifestFromOrigin();
+  void FetchManifestFromPeer(const FleetMember& peer);
   std::string ChooseManifestSource();
   Milliseconds RetryDelay();
   Milliseconds ChunkTimeout() const;
-  void OnManifest(Result<std::vector<std::string>> digests, const char* source);
+  // Returns the digests of a manifest that describes this version as the
+  // configuration does.
+  Result<std::vector<Digest>> ReadManifest(
+      const platform::WeightManifest& manifest) const;
+  void OnManifest(Result<std::vector<Digest>> digests, const char* source);
+  void RetryManifest(const Error& error, const char* source);
   void ReadEngine();
   void OnEngineChunk(uint32_t n, Result<std::string> bytes);
   void Plan();
--- a/Source/Core/Fleet/weight_copy.cc
+++ b/Source/Core/Fleet/weight_copy.cc
@@ -4,20 +4,30 @@
 
 namespace primrosecove {
 
-Result<void> WeightCopy::SetDigests(const std::vector<std::string>& hex) {
-  std::vector<Digest> digests;
+Result<std::vector<Digest>> ParseDigests(const std::vector<std::string>& hex,
+                                         uint32_t chunks) {
+  if (chunks == 0) {
+    return Fail(ErrorCode::kInvalidArgument,
+                "the configuration states no number of chunks");
+  }
+  if (hex.size() != chunks) {
+    return Fail(ErrorCode::kInvalidArgument,
+                "the manifest lists " + std::to_string(hex.size()) +
+                    " chunks, the configuration " + std::to_string(chunks));
+  }
+  std::vector<Digest> out;
   for (const std::string& it : hex) {
     BOOST_OUTCOME_TRY(digest, Digest::FromHex(it));
-    digests.push_back(digest);
-  }
-  if (digests.empty()) {
-    return Fail(ErrorCode::kInvalidArgument, "the manifest lists no chunks");
+    out.push_back(digest);
   }
+  return out;
+}
+
+void WeightCopy::SetDigests(std::vector<Digest> digests) {
   digests_ = std::move(digests);
   chunks_.assign(digests_.size(), "");
   held_.assign(digests_.size(), false);
   held_count_ = 0;
-  return outcome::success();
 }
 
 bool WeightCopy::Matches(uint32_t n, std::string_view bytes) const {
--- a/Source/Core/Fleet/weight_copy.h
+++ b/Source/Core/Fleet/weight_copy.h
@@ -11,15 +11,20 @@
 
 namespace primrosecove {
 
+/// Parses the digests that a manifest lists, in hexadecimal. Fails with
+/// kInvalidArgument on a malformed digest, and unless there are exactly
+/// `chunks` of them, the number that the configuration states. Thread safe.
+Result<std::vector<Digest>> ParseDigests(const std::vector<std::string>& hex,
+                                         uint32_t chunks);
+
 /// Holds only chunks that match their digests. Not thread safe.
 class WeightCopy {
  public:
   WeightCopy(std::string model, uint64_t version)
       : model_(std::move(model)), version_(version) {}
 
-  /// Sets the digests, given in hexadecimal, and drops all chunks. Fails with
-  /// kInvalidArgument on a malformed digest or an empty list.
-  Result<void> SetDigests(const std::vector<std::string>& hex);
+  /// Sets the digests and drops all chunks.
+  void SetDigests(std::vector<Digest> digests);
   bool has_digests() const { return !digests_.empty(); }
   const std::vector<Digest>& digests() const { return digests_; }
   /// Stores a chunk; returns false if it does not match its digest.
--- a/Source/UnitTests/Agent/fleet_agent_test.cc
+++ b/Source/UnitTests/Agent/fleet_agent_test.cc
@@ -3,6 +3,7 @@
 #include "Core/Agent/fleet_agent.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "../test_support.h"
 #include "Core/Agent/weight_stager.h"
@@ -204,6 +205,64 @@
   CHECK(fleet.origin.chunks_sent() >= kChunks + 7);
 }
 
+// Guards against incomplete weights that are staged, loaded and served, because
+// a copy was whole by the count of its manifest.
+TEST_CASE("a manifest that does not describe the weights is not used",
+          "[burst]") {
+  struct Row {
+    const char* name;
+    std::function<void(nlohmann::json*)> edit;
+  };
+  using Json = nlohmann::json;
+  const Row rows[] = {
+      {"last digest missing",
+       [](Json* it) { it->at("hashes").erase(kChunks - 1); }},
+      {"first digest missing", [](Json* it) { it->at("hashes").erase(0); }},
+      {"a digest too many",
+       [](Json* it) { it->at("hashes").push_back(it->at("hashes")[0]); }},
+      {"no digest", [](Json* it) { it->at("hashes").clear(); }},
+      {"another version", [](Json* it) { it->at("version") = 1; }},
+      {"another model", [](Json* it) { it->at("model") = "other"; }},
+      {"another size of chunks", [](Json* it) { it->at("chunk_bytes") = 7; }},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    FleetFixture fleet(131, 2, 1);
+    fleet.update.chunk_bytes = OriginStandIn::ChunkContent(1, 0).size();
+    constexpr int kEdited = 3;
+    fleet.origin.EditNextManifests(kEdited, row.edit);
+    fleet.SetTarget(2);
+    fleet.RunUntilServing(2);
+    CHECK(fleet.origin.manifests_sent() > kEdited);
+  }
+}
+
+TEST_CASE("a short manifest of a peer is not used", "[burst]") {
+  FleetFixture fleet(132, 1, 0);
+  int manifests = 0;
+  Http1Server peer(&fleet.loop, {}, [&](auto exchange) {
+    const HttpRequest& request = exchange->request();
+    if (request.QueryValue("feed") || request.QueryValue("piece"))
+      return exchange->Respond(404, "Not Found", {}, "");
+    ++manifests;
+    std::string body;
+    for (uint32_t n = 0; n + 1 < kChunks; ++n) {
+      if (n > 0) body.push_back('\n');
+      body += Sha256(OriginStandIn::ChunkContent(2, n)).ToHex();
+    }
+    exchange->Respond(200, "OK", {}, body);
+  });
+  REQUIRE(peer.Listen({fleet.EndpointOf(40).ip, kPeerPort}));
+  // The first member in rank is asked first.
+  std::string id = "peer";
+  while (RendezvousScore("m/2", id) < RendezvousScore("m/2", "e0"))
+    id.push_back('0');
+  fleet.update.members.push_back({id, fleet.EndpointOf(40), "z1", 0, false});
+  fleet.SetTarget(2);
+  fleet.RunUntilServing(2);
+  CHECK(manifests > 0);
+}
+
 // Guards against a peer whose feed fills the memory of the agents that
 // subscribe to it, by numbers of chunks without end.
 TEST_CASE("a feed of chunks that do not exist is ended", "[burst]") {
--- a/Source/UnitTests/Fleet/chunk_planner_test.cc
+++ b/Source/UnitTests/Fleet/chunk_planner_test.cc
@@ -191,7 +191,7 @@
 TEST_CASE("a copy stores only chunks that match their digests") {
   WeightCopy copy("m", 2);
   CHECK_FALSE(copy.Add(0, "a"));
-  REQUIRE(copy.SetDigests({Sha256("a").ToHex(), Sha256("b").ToHex()}));
+  copy.SetDigests({Sha256("a"), Sha256("b")});
   CHECK_FALSE(copy.Add(0, "b"));
   CHECK_FALSE(copy.Add(7, "a"));
   CHECK(copy.Add(0, "a"));
@@ -199,8 +199,35 @@
   CHECK_FALSE(copy.complete());
   CHECK(copy.Add(1, "b"));
   CHECK(copy.complete());
-  CHECK_FALSE(copy.SetDigests({"not hexadecimal"}));
-  CHECK_FALSE(copy.SetDigests({}));
+}
+
+// Guards against a copy that is whole by a count of its own: the configuration
+// states the number of chunks.
+TEST_CASE("a manifest lists as many digests as the configuration states") {
+  std::string a = Sha256("a").ToHex();
+  std::string b = Sha256("b").ToHex();
+  struct Row {
+    const char* name;
+    std::vector<std::string> hex;
+    uint32_t chunks;
+    bool is_manifest;
+  };
+  const Row rows[] = {
+      {"all", {a, b}, 2, true},
+      {"one missing", {a}, 2, false},
+      {"one too many", {a, b, a}, 2, false},
+      {"none", {}, 2, false},
+      {"none, and none stated", {}, 0, false},
+      {"some, and none stated", {a, b}, 0, false},
+      {"not hexadecimal", {a, "not hexadecimal"}, 2, false},
+      {"cut digest", {a, b.substr(1)}, 2, false},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    auto digests = ParseDigests(row.hex, row.chunks);
+    CHECK(digests.has_value() == row.is_manifest);
+    if (digests) CHECK(digests.value().size() == row.chunks);
+  }
 }
 
 }  // namespace
