Replace a manifest that the origin's chunks do not match

Cause: the first manifest that parsed was kept for good and handed on to all other agents, however often a chunk did not match it.

Change: a manifest of the origin counts once two responses agree. The same bytes of a chunk, twice, accuse its digest: the agent reads the manifest again from the origin, doesn't hand on its own meanwhile, and replaces it if two responses state another; chunks that match are kept. If they state the same, the peers that sent the bytes are avoided. A chunk whose bytes arrive unchanged is asked for after a wait that doubles.

--- a/Source/Core/Agent/chunk_server.cc
+++ b/Source/Core/Agent/chunk_server.cc
@@ -71,7 +71,7 @@
 void ChunkServer::ServeManifest(const std::shared_ptr<Http1Exchange>& exchange,
                                 uint64_t version) {
   const WeightCopy* copy = lookup_(version);
-  if (copy == nullptr || !copy->has_digests()) {
+  if (copy == nullptr || !copy->has_digests() || copy->doubted()) {
     return exchange->Respond(404, "Not Found", {}, "");
   }
   std::string body;
--- a/Source/Core/Agent/chunk_staging.cc
+++ b/Source/Core/Agent/chunk_staging.cc
@@ -21,6 +21,8 @@
   while (in_flight_ < kMaxConcurrentChunks && !queued_.empty()) {
     uint32_t n = *queued_.begin();
     queued_.erase(queued_.begin());
+    // The copy drops a chunk whose digest is replaced.
+    if (!copy_->Has(n)) continue;
     ++in_flight_;
     engine_.StageChunk(copy_->model(), n, copy_->ChunkData(n),
                        [this](bool accepted) {
--- a/Source/Core/Agent/fleet_agent.cc
+++ b/Source/Core/Agent/fleet_agent.cc
@@ -78,6 +78,12 @@
       {"rejected_manifests_total",
        "Manifests that do not describe the weights as the configuration does",
        [&transfers] { return transfers.rejected_manifests; }},
+      {"doubted_manifests_total",
+       "Manifests that were read again, as chunks did not match them",
+       [&transfers] { return transfers.doubted_manifests; }},
+      {"replaced_manifests_total",
+       "Manifests that were replaced, as the origin stated another one",
+       [&transfers] { return transfers.replaced_manifests; }},
       {"orders_total", "Orders to load",
        [this] { return stager_->counters().orders; }},
   };
--- a/Source/Core/Agent/weight_transfer.cc
+++ b/Source/Core/Agent/weight_transfer.cc
@@ -29,6 +29,10 @@
 constexpr Milliseconds kManifestTurn{1000};
 // Failed requests for the manifest between two log lines.
 constexpr int kManifestTriesPerLogLine = 16;
+// Time from a doubt about a manifest that the origin has confirmed to the next
+// one; it doubles each time.
+constexpr Milliseconds kMinDoubtInterval{1000};
+constexpr Milliseconds kMaxDoubtInterval{16'000};
 // About the time in which a busy peer sends one chunk.
 constexpr Milliseconds kBusyPeerDelay{30};
 // When this share of a version's chunks is available somewhere, the remaining
@@ -69,6 +73,7 @@
       origin_(context.client),
       engine_(context.client, context.settings->upstream_endpoint),
       peer_calls_(context.client),
+      doubt_interval_(kMinDoubtInterval),
       random_engine_(static_cast<uint32_t>(RandomU64())) {}
 
 WeightTransfer::~WeightTransfer() {
@@ -112,8 +117,10 @@
 }
 
 void WeightTransfer::FetchManifest() {
-  if (manifest_in_flight_ || copy_.has_digests()) return;
+  if (manifest_in_flight_ || (copy_.has_digests() && !copy_.doubted())) return;
   manifest_in_flight_ = true;
+  // Peers may have the doubted manifest as well.
+  if (copy_.doubted()) return FetchManifestFromOrigin();
   std::string source = ChooseManifestSource();
   const FleetMember* peer = FindMember(source);
   if (peer == nullptr || source == *context_.self)
@@ -124,7 +131,7 @@
 void WeightTransfer::FetchManifestFromOrigin() {
   auto on_manifest = [this](Result<platform::WeightManifest> manifest) {
     if (!manifest) return RetryManifest(manifest.error(), "origin");
-    OnManifest(ReadManifest(manifest.value()), "origin");
+    OnOriginManifest(ReadManifest(manifest.value()));
   };
   origin_.FetchManifest(context_.update->origin, copy_.model(), copy_.version(),
                         on_manifest);
@@ -189,6 +196,15 @@
   return peers[index(random_engine_)];
 }
 
+void WeightTransfer::OnOriginManifest(Result<std::vector<Digest>> digests) {
+  if (digests && !manifest_agreement_.Add(digests.value())) {
+    if (!manifest_agreement_.differs()) return FetchManifestFromOrigin();
+    return RetryManifest({ErrorCode::kCorrupt, "the origin's manifests differ"},
+                         "origin");
+  }
+  OnManifest(std::move(digests), "origin");
+}
+
 void WeightTransfer::OnManifest(Result<std::vector<Digest>> digests,
                                 const char* source) {
   if (!digests) {
@@ -196,12 +212,46 @@
     return RetryManifest(digests.error(), source);
   }
   manifest_in_flight_ = false;
+  bool is_confirmed = copy_.has_digests() && digests.value() == copy_.digests();
+  bool is_replaced = copy_.has_digests() && !is_confirmed;
+  copy_.SetDoubted(false);
+  if (is_confirmed) return OnManifestConfirmed();
   copy_.SetDigests(std::move(digests).value());
-  PC_INFO(kWeights, "event=manifest_read version=" << copy_.version()
-                                                   << " pieces=" << copy_.size()
-                                                   << " source=" << source);
+  mismatches_.Clear();
+  PC_INFO(kWeights, "event=manifest_read version="
+                        << copy_.version() << " pieces=" << copy_.size()
+                        << " source=" << source << " replaced=" << is_replaced
+                        << " held=" << copy_.held_count());
+  if (is_replaced) ++context_.counters->replaced_manifests;
   if (!read_engine_) return Plan();
-  ReadEngine();
+  // Chunks at the engine may match the new digests.
+  engine_next_ = 0;
+  engine_missing_ = 0;
+  if (engine_pending_ == 0) ReadEngine();
+}
+
+void WeightTransfer::DoubtManifest(uint32_t n) {
+  SteadyTime now = EventLoop::Now();
+  if (copy_.doubted() || now < next_doubt_at_) return;
+  PC_WARN(kWeights,
+          "event=manifest_doubted version=" << copy_.version() << " piece=" << n
+                                            << " held=" << copy_.held_count());
+  ++context_.counters->doubted_manifests;
+  next_doubt_at_ = now + doubt_interval_;
+  doubt_interval_ = std::min(doubt_interval_ * 2, kMaxDoubtInterval);
+  copy_.SetDoubted(true);
+  manifest_agreement_ = ManifestAgreement();
+  FetchManifest();
+}
+
+void WeightTransfer::OnManifestConfirmed() {
+  std::set<std::string> sources = mismatches_.RepeatedSources();
+  PC_INFO(kWeights, "event=manifest_confirmed version="
+                        << copy_.version() << " sources=" << sources.size());
+  for (const std::string& it : sources) {
+    if (!it.empty()) AvoidPeer(it, "its chunks do not match the manifest");
+  }
+  Plan();
 }
 
 void WeightTransfer::RetryManifest(const Error& error, const char* source) {
@@ -377,6 +427,7 @@
   std::vector<std::pair<uint32_t, std::string>> fetchable;
   for (auto& [n, sources] : plan_) {
     if (copy_.Has(n) || fetches_.contains(n)) continue;
+    if (!mismatches_.MayFetch(n, now)) continue;
     std::string source = ChooseSource(n);
     if (!source.empty()) fetchable.emplace_back(n, source);
   }
@@ -435,7 +486,7 @@
   } else if (!succeeded) {
     AvoidPeer(fetch->source, "chunk request failed");
   }
-  if (succeeded) AddChunk(n, result.body, &context_.counters->peer_bytes);
+  if (succeeded) AddChunk(n, result.body, fetch->source);
   FetchNext();
   fetch_timer_ =
       context_.loop->After(kFetchRetryDelay, [this] { FetchNext(); });
@@ -449,9 +500,11 @@
 }
 
 void WeightTransfer::FetchFromOrigin() {
+  SteadyTime now = EventLoop::Now();
   for (auto& [n, sources] : plan_) {
     if (origin_in_flight_.size() >= kMaxConcurrentOriginFetches) return;
     if (!sources.origin || copy_.Has(n)) continue;
+    if (!mismatches_.MayFetch(n, now)) continue;
     if (!origin_in_flight_.insert(n).second) continue;
     origin_.FetchChunk(context_.update->origin, copy_.model(), copy_.version(),
                        n, [this, n = n](Result<std::string> bytes) {
@@ -463,27 +516,37 @@
                                RetryDelay(), [this] { FetchFromOrigin(); });
                            return;
                          }
-                         AddChunk(n, std::move(bytes).value(),
-                                  &context_.counters->origin_bytes);
+                         AddChunk(n, std::move(bytes).value(), "");
                          FetchFromOrigin();
                        });
   }
 }
 
 void WeightTransfer::AddChunk(uint32_t n, std::string bytes,
-                              uint64_t* counter) {
-  *counter += bytes.size();
+                              const std::string& peer) {
+  TransferCounters* counters = context_.counters;
+  (peer.empty() ? counters->origin_bytes : counters->peer_bytes) +=
+      bytes.size();
   if (!copy_.has_digests() || copy_.Has(n)) return;
-  if (!copy_.Add(n, std::move(bytes))) {
-    ++context_.counters->corrupt_chunks;
-    PC_WARN(kWeights, "event=piece_corrupt version=" << copy_.version()
-                                                     << " piece=" << n);
-    return;
-  }
+  if (!copy_.Matches(n, bytes)) return OnMismatch(n, bytes, peer);
+  copy_.Add(n, std::move(bytes));
   events_.on_chunk(n);
   CheckComplete();
 }
 
+void WeightTransfer::OnMismatch(uint32_t n, std::string_view bytes,
+                                const std::string& peer) {
+  ++context_.counters->corrupt_chunks;
+  int arrivals =
+      mismatches_.Record(n, bytes, peer, RetryDelay(), EventLoop::Now());
+  PC_WARN(kWeights, "event=piece_corrupt version="
+                        << copy_.version() << " piece=" << n
+                        << " source=" << (peer.empty() ? "origin" : peer)
+                        << " bytes=" << bytes.size()
+                        << " same_bytes=" << arrivals);
+  if (arrivals > 1) DoubtManifest(n);
+}
+
 void WeightTransfer::CheckComplete() {
   if (!copy_.complete() || std::exchange(completion_reported_, true)) return;
   // The origin limits its connections, and others may need them.
--- a/Source/Core/Agent/weight_transfer.h
+++ b/Source/Core/Agent/weight_transfer.h
@@ -11,8 +11,10 @@
 #include <string>
 #include <vector>
 
+#include "Core/Fleet/chunk_mismatches.h"
 #include "Core/Fleet/chunk_planner.h"
 #include "Core/Fleet/fleet_messages.h"
+#include "Core/Fleet/manifest_agreement.h"
 #include "Core/Fleet/transfer_pacing.h"
 #include "Core/Fleet/weight_copy.h"
 #include "Core/Net/http1_calls.h"
@@ -26,6 +28,8 @@
   uint64_t peer_bytes = 0;
   uint64_t corrupt_chunks = 0;
   uint64_t rejected_manifests = 0;
+  uint64_t doubted_manifests = 0;
+  uint64_t replaced_manifests = 0;
 };
 
 /// State that all transfers of an agent share. All pointers outlive them.
@@ -77,8 +81,14 @@
   // configuration does.
   Result<std::vector<Digest>> ReadManifest(
       const platform::WeightManifest& manifest) const;
+  void OnOriginManifest(Result<std::vector<Digest>> digests);
   void OnManifest(Result<std::vector<Digest>> digests, const char* source);
   void RetryManifest(const Error& error, const char* source);
+  // Reads the manifest again, because the same bytes of chunk `n` have arrived
+  // twice and do not match it.
+  void DoubtManifest(uint32_t n);
+  // The origin has stated the digests of this copy again.
+  void OnManifestConfirmed();
   void ReadEngine();
   void OnEngineChunk(uint32_t n, Result<std::string> bytes);
   void Plan();
@@ -97,7 +107,9 @@
   void OnFetchEnd(uint32_t n, const CallResult& result);
   void FetchFromOrigin();
   void AvoidPeer(const std::string& id, const char* why);
-  void AddChunk(uint32_t n, std::string bytes, uint64_t* counter);
+  // Adds a chunk that a peer or, if `peer` is empty, the origin has sent.
+  void AddChunk(uint32_t n, std::string bytes, const std::string& peer);
+  void OnMismatch(uint32_t n, std::string_view bytes, const std::string& peer);
   void CheckComplete();
 
   TransferContext context_;
@@ -111,6 +123,11 @@
   SteadyTime started_at_ = EventLoop::Now();
   bool manifest_in_flight_ = false;
   int manifest_tries_ = 0;
+  ManifestAgreement manifest_agreement_;
+  ChunkMismatches mismatches_;
+  /// The manifest is not doubted again before.
+  SteadyTime next_doubt_at_{};
+  Milliseconds doubt_interval_;
   uint32_t engine_next_ = 0;
   uint32_t engine_pending_ = 0;
   uint32_t engine_missing_ = 0;
--- a/Source/Core/Fleet/weight_copy.cc
+++ b/Source/Core/Fleet/weight_copy.cc
@@ -24,10 +24,19 @@
 }
 
 void WeightCopy::SetDigests(std::vector<Digest> digests) {
-  digests_ = std::move(digests);
-  chunks_.assign(digests_.size(), "");
-  held_.assign(digests_.size(), false);
+  chunks_.resize(digests.size());
+  held_.resize(digests.size(), false);
   held_count_ = 0;
+  for (size_t n = 0; n < digests.size(); ++n) {
+    bool matches = held_[n] && digests[n] == digests_[n];
+    held_[n] = matches;
+    if (matches) {
+      ++held_count_;
+    } else {
+      chunks_[n].clear();
+    }
+  }
+  digests_ = std::move(digests);
 }
 
 bool WeightCopy::Matches(uint32_t n, std::string_view bytes) const {
--- a/Source/Core/Fleet/weight_copy.h
+++ b/Source/Core/Fleet/weight_copy.h
@@ -23,8 +23,11 @@
   WeightCopy(std::string model, uint64_t version)
       : model_(std::move(model)), version_(version) {}
 
-  /// Sets the digests and drops all chunks.
+  /// Sets the digests; keeps the chunks that match them.
   void SetDigests(std::vector<Digest> digests);
+  /// Sets whether the digests may be wrong. They are then not handed on.
+  void SetDoubted(bool doubted) { doubted_ = doubted; }
+  bool doubted() const { return doubted_; }
   bool has_digests() const { return !digests_.empty(); }
   const std::vector<Digest>& digests() const { return digests_; }
   /// Stores a chunk; returns false if it does not match its digest.
@@ -48,6 +51,7 @@
   std::vector<std::string> chunks_;
   std::vector<bool> held_;
   uint32_t held_count_ = 0;
+  bool doubted_ = false;
 };
 
 }  // namespace primrosecove
--- a/Source/UnitTests/Agent/fleet_agent_test.cc
+++ b/Source/UnitTests/Agent/fleet_agent_test.cc
@@ -23,6 +23,8 @@
 constexpr size_t kChunks = 12;
 constexpr uint16_t kPeerPort = 18090;
 
+using Json = nlohmann::json;
+
 // Engines with their agents, and a router socket that sends them deployment
 // updates.
 class FleetFixture {
@@ -213,7 +215,6 @@
     const char* name;
     std::function<void(nlohmann::json*)> edit;
   };
-  using Json = nlohmann::json;
   const Row rows[] = {
       {"last digest missing",
        [](Json* it) { it->at("hashes").erase(kChunks - 1); }},
@@ -237,6 +238,66 @@
   }
 }
 
+void SpoilDigit(Json* manifest) {
+  std::string digest = manifest->at("hashes")[7];
+  digest[20] = digest[20] == '0' ? '1' : '0';
+  manifest->at("hashes")[7] = digest;
+}
+
+void SpoilHalf(Json* manifest) {
+  for (size_t n = 0; n < kChunks; n += 2)
+    manifest->at("hashes")[n] = Sha256("wrong " + std::to_string(n)).ToHex();
+}
+
+void SpoilAll(Json* manifest) {
+  for (Json& it : manifest->at("hashes"))
+    it = Sha256("wrong " + it.get<std::string>()).ToHex();
+}
+
+void SwapDigests(Json* manifest) {
+  std::swap(manifest->at("hashes")[2], manifest->at("hashes")[9]);
+}
+
+void ListOtherVersion(Json* manifest) {
+  uint64_t version = manifest->at("version").get<uint64_t>() + 1;
+  for (uint32_t n = 0; n < kChunks; ++n) {
+    manifest->at("hashes")[n] =
+        Sha256(OriginStandIn::ChunkContent(version, n)).ToHex();
+  }
+}
+
+// Guards against one wrong digest that no chunk ever matches: the manifest was
+// kept for good and handed on, and no engine loaded weights any more.
+TEST_CASE("a wrong manifest is replaced", "[burst]") {
+  struct Row {
+    const char* name;
+    void (*edit)(Json*);
+  };
+  const Row rows[] = {
+      {"a wrong digit", SpoilDigit},
+      {"two digests swapped", SwapDigests},
+      {"half of the digests wrong", SpoilHalf},
+      {"all digests wrong", SpoilAll},
+      {"digests of another version", ListOtherVersion},
+  };
+  for (const Row& row : rows) {
+    // With two, responses agree on a wrong one, which is then handed on; with
+    // four, they also confirm it.
+    for (int wrong : {1, 2, 4}) {
+      for (bool is_empty : {false, true}) {
+        INFO(row.name << ", " << wrong << " wrong responses, empty engines "
+                      << is_empty);
+        FleetFixture fleet(133, 3, is_empty ? 0 : 1);
+        fleet.origin.EditNextManifests(wrong, row.edit);
+        fleet.SetTarget(2);
+        fleet.RunUntilServing(2);
+        CHECK(fleet.origin.chunks_sent() <= 8 * kChunks);
+        CHECK(fleet.origin.manifests_sent() <= 24);
+      }
+    }
+  }
+}
+
 TEST_CASE("a short manifest of a peer is not used", "[burst]") {
   FleetFixture fleet(132, 1, 0);
   int manifests = 0;
--- a/Source/UnitTests/Fleet/chunk_planner_test.cc
+++ b/Source/UnitTests/Fleet/chunk_planner_test.cc
@@ -199,6 +199,12 @@
   CHECK_FALSE(copy.complete());
   CHECK(copy.Add(1, "b"));
   CHECK(copy.complete());
+  // Other digests leave the chunks that match them.
+  copy.SetDigests({Sha256("a"), Sha256("c")});
+  CHECK(copy.Missing() == std::vector<uint32_t>{1});
+  CHECK(copy.ChunkData(0) == "a");
+  CHECK(copy.Add(1, "c"));
+  CHECK(copy.complete());
 }
 
 // Guards against a copy that is whole by a count of its own: the configuration
