Keep upstreams whose address another writer registers

Cause: any new registration at an address was taken for the successor of the upstream there, before it was known whether it names an upstream to use. The removed upstream's registration did not change, so the store never returned it.

Change: only a registration that names an upstream to use replaces another one, and none that has shown lately that it runs. A replaced upstream is kept aside and returns once its successor proves wrong. Who is at an address is known from the agent's status and from the refusal of a request that names another process; the entry that is not there gets no requests for 10 s.

--- a/Source/Core/Fleet/request_fields.h
+++ b/Source/Core/Fleet/request_fields.h
@@ -61,8 +61,11 @@
 /// Metadata of a response from an upstream.
 struct ResponseFields {
   bool not_executed = false;  ///< The upstream did not and will not run it.
-  bool is_signed = false;     ///< The upstream vouches for the response.
-  bool is_success = false;    ///< The upstream ran it with success (2xx).
+  /// The process that answered is not the one that the request was for, or
+  /// serves other weights than it asked for. Implies not_executed.
+  bool is_misdirected = false;
+  bool is_signed = false;   ///< The upstream vouches for the response.
+  bool is_success = false;  ///< The upstream ran it with success (2xx).
   std::optional<UpstreamLoad> load;
   /// A load is present, but has too few figures or one that is not a number.
   bool has_malformed_load = false;
--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -32,6 +32,9 @@
 // A process that goes on writing is alive.
 constexpr Milliseconds kMaxWriteDelay{10'000};
 constexpr int kWritesOfLiveProcess = 3;
+// An upstream that another process has answered for is tried again after this
+// time.
+constexpr Milliseconds kAbsence{10'000};
 // After a restore, servers write their registrations again within less, and
 // those of servers that have ended lapse.
 constexpr Milliseconds kRestoreSettleTime{10'000};
@@ -40,6 +43,24 @@
 // A process that is leaving ends within less.
 constexpr Milliseconds kLeavingStatementLifetime{600'000};
 
+bool LivesByAgent(const FleetUpstream& upstream, MonotonicTime now) {
+  bool same_process =
+      upstream.status && upstream.record.start_time_ms != 0 &&
+      upstream.status->start_time_ms == upstream.record.start_time_ms;
+  return same_process && upstream.status->reachable &&
+         upstream.status->responding &&
+         now - upstream.status_received_at < UpstreamRegistry::kStatusLifetime;
+}
+
+bool LivesByRequests(const FleetUpstream& upstream, MonotonicTime now) {
+  return now - upstream.last_success < kRecentSuccess;
+}
+
+// Whether an upstream has shown lately that its process runs.
+bool IsAlive(const FleetUpstream& upstream, MonotonicTime now) {
+  return LivesByAgent(upstream, now) || LivesByRequests(upstream, now);
+}
+
 const LoadedWeights* FullyLoadedWeights(const UpstreamRecord& record,
                                         const std::string& model) {
   for (const LoadedWeights& it : record.weights) {
@@ -83,6 +104,14 @@
 
 void UpstreamRegistry::Apply(const UpstreamChange& change,
                              MonotonicTime reachable_since, MonotonicTime now) {
+  ApplyChange(change, reachable_since, now);
+  RestoreWithoutSuccessor(now);
+}
+
+void UpstreamRegistry::ApplyChange(const UpstreamChange& change,
+                                   MonotonicTime reachable_since,
+                                   MonotonicTime now) {
+  if (!change.record) replaced_.erase(change.id);
   auto it = upstreams_.find(change.id);
   if (change.record) {
     bool is_new = it == upstreams_.end();
@@ -117,6 +146,8 @@
       upstream.status.reset();
       upstream.refuses_connections = false;
     }
+    if (restarted || upstream.record.endpoint != change.record->endpoint)
+      upstream.absent_until = now;
     upstream.record = *change.record;
     if (restarted) {
       upstream.start_seen_at = now;
@@ -186,41 +217,156 @@
                                      now};
 }
 
+void UpstreamRegistry::SetServices(std::set<std::string> services,
+                                   MonotonicTime now) {
+  auto before = std::exchange(services_, std::move(services));
+  std::vector<UpstreamRecord> added;
+  for (const auto& [id, upstream] : upstreams_) {
+    const UpstreamRecord& it = upstream.record;
+    bool was_named = !before || before->contains(it.service);
+    if (!was_named && services_->contains(it.service)) added.push_back(it);
+  }
+  for (const UpstreamRecord& it : added) {
+    if (upstreams_.contains(it.id)) RemoveReplaced(it, now);
+  }
+  RestoreWithoutSuccessor(now);
+}
+
+bool UpstreamRegistry::IsUsableRecord(const UpstreamRecord& record) const {
+  return !record.leaving && record.slots > 0 &&
+         (!services_ || services_->contains(record.service));
+}
+
 void UpstreamRegistry::RemoveReplaced(const UpstreamRecord& record,
                                       MonotonicTime now) {
+  if (!IsUsableRecord(record)) return;
   std::erase_if(upstreams_, [&](const auto& it) {
     const UpstreamRecord& other = it.second.record;
-    if (other.endpoint != record.endpoint) return false;
+    if (other.id == record.id || other.endpoint != record.endpoint)
+      return false;
     bool has_start_times =
         other.start_time_ms != 0 && record.start_time_ms != 0;
     bool is_replaced = has_start_times
                            ? other.start_time_ms < record.start_time_ms
                            : now - it.second.registered_at > kMaxReadTime;
     if (!is_replaced) return false;
+    if (IsAlive(it.second, now)) {
+      PC_WARN(kMembership, "event=address_contested id="
+                               << it.first << " by=" << record.id
+                               << " at=" << record.endpoint.ToString());
+      return false;
+    }
     if (!it.second.IsLeaving())
       RecordCrash(it.second, CrashEvidence::kReplaced);
     RecordEnded(other, now);
-    replaced_[it.first] = {now, 0};
+    replaced_[it.first] = {it.second, record.id, now, 0};
     return true;
   });
 }
 
+void UpstreamRegistry::RestoreWithoutSuccessor(MonotonicTime now) {
+  std::vector<std::string> ids;
+  for (const auto& [id, replaced] : replaced_) {
+    auto it = upstreams_.find(replaced.successor);
+    bool has_successor =
+        it != upstreams_.end() && now >= it->second.absent_until &&
+        IsUsableRecord(it->second.record) &&
+        it->second.record.endpoint == replaced.upstream.record.endpoint;
+    // The registration of a process that has ended lapses within less.
+    bool is_lasting = now - replaced.at > kMaxWriteDelay;
+    if (!has_successor || is_lasting) ids.push_back(id);
+  }
+  for (const std::string& id : ids) Restore(id, "no successor", now);
+}
+
+bool UpstreamRegistry::RestoreReplaced(const std::string& service,
+                                       MonotonicTime now) {
+  std::vector<std::string> ids;
+  for (const auto& [id, replaced] : replaced_) {
+    if (replaced.upstream.record.service == service) ids.push_back(id);
+  }
+  for (const std::string& id : ids)
+    Restore(id, "its service has no other upstream", now);
+  return !ids.empty();
+}
+
+void UpstreamRegistry::Restore(const std::string& id, const char* why,
+                               MonotonicTime now) {
+  auto node = replaced_.extract(id);
+  if (node.empty()) return;
+  ended_registrations_.erase(id);
+  FleetUpstream& upstream = upstreams_[id];
+  upstream = std::move(node.mapped().upstream);
+  upstream.registered_at = now;
+  upstream.status.reset();
+  upstream.reload_at.reset();
+  // The requests that were in flight have ended meanwhile, or end unnoticed.
+  upstream.local_in_flight = 0;
+  upstream.local_in_flight_at_report = 0;
+  upstream.silent_since.reset();
+  UpdateStatesLeaving(&upstream);
+  PC_INFO(kMembership, "event=upstream_restored id="
+                           << id << " successor=" << node.mapped().successor
+                           << " why=\"" << why << "\"");
+}
+
+std::optional<std::string> UpstreamRegistry::FindRunning(
+    const UpstreamStatus& status, MonotonicTime now) {
+  if (!status.reachable || status.start_time_ms == 0) return std::nullopt;
+  auto is_running = [&status](const UpstreamRecord& record) {
+    return record.endpoint == status.upstream &&
+           record.start_time_ms == status.start_time_ms;
+  };
+  auto replaced = std::ranges::find_if(replaced_, [&](const auto& it) {
+    return is_running(it.second.upstream.record);
+  });
+  if (replaced != replaced_.end()) {
+    std::string id = replaced->first;
+    Restore(id, "its agent reaches it", now);
+    return id;
+  }
+  for (const auto& [id, upstream] : upstreams_) {
+    if (is_running(upstream.record)) return id;
+  }
+  return std::nullopt;
+}
+
+void UpstreamRegistry::MarkAbsent(FleetUpstream* upstream, const char* why,
+                                  MonotonicTime now) {
+  if (now >= upstream->absent_until) {
+    PC_INFO(kMembership, "event=upstream_absent id="
+                             << upstream->record.id
+                             << " at=" << upstream->record.endpoint.ToString()
+                             << " why=\"" << why << "\"");
+  }
+  upstream->absent_until = now + kAbsence;
+}
+
 bool UpstreamRegistry::IsLateWrite(const UpstreamRecord& record,
                                    MonotonicTime now) {
-  std::erase_if(replaced_, [now](const auto& it) {
-    return now - it.second.at > kMaxWriteDelay;
-  });
   auto it = replaced_.find(record.id);
   if (it == replaced_.end()) return false;
-  if (++it->second.writes < kWritesOfLiveProcess) return true;
+  ReplacedUpstream& replaced = it->second;
+  bool may_be_late = now - replaced.at <= kMaxWriteDelay &&
+                     ++replaced.writes < kWritesOfLiveProcess;
+  if (may_be_late) {
+    replaced.upstream.record = record;
+    return true;
+  }
   replaced_.erase(it);
   return false;
 }
 
 void UpstreamRegistry::RecordStatus(const UpstreamStatus& status,
                                     MonotonicTime now) {
+  std::optional<std::string> running = FindRunning(status, now);
   for (auto& [id, upstream] : upstreams_) {
     if (upstream.record.endpoint != status.upstream) continue;
+    if (running && id != *running) {
+      RecordOtherStatus(&upstream, now);
+      continue;
+    }
+    if (running) upstream.absent_until = now;
     if (upstream.status && upstream.status->sequence >= status.sequence &&
         now - upstream.status_received_at < kStatusLifetime) {
       continue;
@@ -262,6 +408,18 @@
   }
 }
 
+void UpstreamRegistry::RecordOtherStatus(FleetUpstream* upstream,
+                                         MonotonicTime now) {
+  bool was_running =
+      upstream->status && upstream->status->reachable &&
+      upstream->record.start_time_ms != 0 &&
+      upstream->status->start_time_ms == upstream->record.start_time_ms;
+  if (was_running && !upstream->IsLeaving())
+    RecordCrash(*upstream, CrashEvidence::kReplaced);
+  upstream->status.reset();
+  MarkAbsent(upstream, "the agent there reaches another process", now);
+}
+
 void UpstreamRegistry::RecordResponseLoad(const std::string& id,
                                           const UpstreamLoad& load,
                                           MonotonicTime now) {
@@ -403,18 +561,21 @@
   upstream->load_reported_at = now;
 }
 
+void UpstreamRegistry::OnMisdirected(const std::string& id, MonotonicTime now) {
+  FleetUpstream* upstream = Find(id);
+  if (upstream == nullptr) return;
+  upstream->local_in_flight = std::max(upstream->local_in_flight - 1, 0);
+  MarkAbsent(upstream, "another process has answered", now);
+  RestoreWithoutSuccessor(now);
+}
+
 void UpstreamRegistry::RecordRegistrationEnd(const FleetUpstream& upstream,
                                              MonotonicTime now) {
   if (upstream.IsLeaving()) return;
   // An upstream that the store has lost while it answers has not crashed: its
   // writes are lost on the way, or another process writes its entry.
-  bool same_process =
-      upstream.status && upstream.record.start_time_ms != 0 &&
-      upstream.status->start_time_ms == upstream.record.start_time_ms;
-  bool lives_by_agent = same_process && upstream.status->reachable &&
-                        upstream.status->responding &&
-                        now - upstream.status_received_at < kStatusLifetime;
-  bool lives_by_requests = now - upstream.last_success < kRecentSuccess;
+  bool lives_by_agent = LivesByAgent(upstream, now);
+  bool lives_by_requests = LivesByRequests(upstream, now);
   if (!lives_by_agent && !lives_by_requests)
     return RecordCrash(upstream, CrashEvidence::kRegistrationEnded);
   PC_INFO(kMembership, "event=upstream_lost_by_store id="
@@ -441,6 +602,7 @@
 }
 
 void UpstreamRegistry::Expire(MonotonicTime now) {
+  RestoreWithoutSuccessor(now);
   std::erase_if(upstreams_, [this, now](const auto& it) {
     bool expired = it.second.registration_expires_at &&
                    now >= *it.second.registration_expires_at;
@@ -509,6 +671,7 @@
 const char* UpstreamRegistry::WhyNotAccepting(const FleetUpstream& upstream,
                                               MonotonicTime now) {
   if (upstream.IsLeaving()) return "leaving";
+  if (now < upstream.absent_until) return "not at its address";
   bool has_status =
       upstream.status && now - upstream.status_received_at < kStatusLifetime;
   if (!has_status) return nullptr;
--- a/Source/Core/Fleet/upstream_registry.h
+++ b/Source/Core/Fleet/upstream_registry.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,8 @@
   bool refuses_connections = false;  ///< Since it last sent data.
   /// Its process has stated in a response that it is leaving.
   bool states_leaving = false;
+  /// Until when another process is taken to be at its address.
+  MonotonicTime absent_until{-1'000'000};
   /// The time at which the upstream last sent data to this router, or got a
   /// request while this router had no other request in flight there.
   MonotonicTime last_progress{-1'000'000};
@@ -123,6 +126,10 @@
   /// registration that has ended may still return.
   void Apply(const UpstreamChange& change, MonotonicTime reachable_since,
              MonotonicTime now);
+  /// Sets the services that the configuration names. A registration of another
+  /// service says nothing about other upstreams. Until the first call, all
+  /// services count as named.
+  void SetServices(std::set<std::string> services, MonotonicTime now);
   /// Records that the store has been restored from a copy. For a while the
   /// store may return registrations that are older than what is known here;
   /// they are ignored.
@@ -149,15 +156,23 @@
   void OnConnectionRefused(const std::string& id);
   /// Records that the upstream refused a request without running it.
   void OnRefused(const std::string& id, MonotonicTime now);
+  /// Records that another process has answered at the upstream's address.
+  void OnMisdirected(const std::string& id, MonotonicTime now);
   /// Records that a process of an upstream has stated in a response that it is
   /// leaving; `start_time_ms` is 0 if unknown. The statement outlives the
   /// upstream's registration, which may lapse and return.
   void OnStatedLeaving(const std::string& id, int64_t start_time_ms,
                        MonotonicTime now);
+  /// Returns the upstreams of a service whose addresses other processes have
+  /// registered to use, for a service without another one: a process that is
+  /// not the one that a request is for does not run it. Returns whether there
+  /// were any.
+  bool RestoreReplaced(const std::string& service, MonotonicTime now);
   /// Returns the crashes that were detected since the last call.
   std::vector<UpstreamCrash> PopCrashes();
   /// Removes the upstreams whose registration grace is over, and old statements
-  /// of processes that have left.
+  /// of processes that have left. Returns replaced upstreams to use that are
+  /// registered still.
   void Expire(MonotonicTime now);
 
   /// Determines which upstreams are silent. Call it periodically.
@@ -195,6 +210,10 @@
                                 const std::string& model, MonotonicTime now);
 
  private:
+  void ApplyChange(const UpstreamChange& change, MonotonicTime reachable_since,
+                   MonotonicTime now);
+  // Records that the agent at an upstream's address reaches another process.
+  void RecordOtherStatus(FleetUpstream* upstream, MonotonicTime now);
   // Records a crash unless there is evidence that the process still runs.
   void RecordRegistrationEnd(const FleetUpstream& upstream, MonotonicTime now);
   void RecordCrash(const FleetUpstream& upstream, CrashEvidence evidence);
@@ -215,8 +234,10 @@
   // that has ended.
   bool IsObsolete(const UpstreamRecord& record, MonotonicTime now) const;
   void RecordEnded(const UpstreamRecord& record, MonotonicTime now);
-  // An upstream whose address another process has taken.
+  // An upstream whose address another process has taken, by its registration.
   struct ReplacedUpstream {
+    FleetUpstream upstream;
+    std::string successor;  // Id.
     MonotonicTime at{0};
     int writes = 0;  // Of its registration since.
   };
@@ -226,14 +247,29 @@
     MonotonicTime made_at{0};
   };
 
+  // Whether a registration names an upstream to use.
+  bool IsUsableRecord(const UpstreamRecord& record) const;
   // Removes the upstreams whose process must have ended because that of
-  // `record`, which has just been seen, started later at the same address.
+  // `record`, which has just been seen, started later at the same address. They
+  // return if that turns out to be wrong, as any writer may register anything.
   void RemoveReplaced(const UpstreamRecord& record, MonotonicTime now);
+  // Returns the upstreams to use whose successors are not registered as such
+  // any more, and those that have been registered beside them for long.
+  void RestoreWithoutSuccessor(MonotonicTime now);
+  void Restore(const std::string& id, const char* why, MonotonicTime now);
   // Returns whether a registration is a late write of a replaced process.
   bool IsLateWrite(const UpstreamRecord& record, MonotonicTime now);
+  // Determines from an agent's status which of the upstreams that are
+  // registered at the address of its engine has the running process. Returns
+  // its id, or nothing if the status or the registrations don't tell.
+  std::optional<std::string> FindRunning(const UpstreamStatus& status,
+                                         MonotonicTime now);
+  // Records that another process is at the upstream's address.
+  void MarkAbsent(FleetUpstream* upstream, const char* why, MonotonicTime now);
 
   std::map<std::string, FleetUpstream> upstreams_;
-  std::map<std::string, ReplacedUpstream> replaced_;
+  std::map<std::string, ReplacedUpstream> replaced_;  // By id.
+  std::optional<std::set<std::string>> services_;
   std::map<std::string, LeavingStatement> leaving_statements_;    // By id.
   std::map<std::string, EndedRegistration> ended_registrations_;  // By id.
   std::optional<MonotonicTime> store_restored_at_;
--- a/Source/Core/Router/fleet_attempt.h
+++ b/Source/Core/Router/fleet_attempt.h
@@ -22,6 +22,8 @@
   int64_t upstream_start_time_ms = 0;  ///< 0 if unknown.
   /// Weights that the upstream is expected to start on; 0 if none are needed.
   uint64_t weights_version = 0;
+  /// The request asks for these weights, so that others refuse it.
+  bool expects_weights_version = false;
   bool counted_as_suspect = false;  ///< By the crash correlator.
   bool sent_as_suspect = false;     ///< No other suspect was there.
   MonotonicTime sent_at{0};
--- a/Source/Core/Router/fleet_request.cc
+++ b/Source/Core/Router/fleet_request.cc
@@ -159,6 +159,10 @@
 void FleetRequest::Dispatch() {
   MonotonicTime now = state_->Now();
   Placement placement = ChoosePlacement(now);
+  if (placement.candidates == 0 &&
+      state_->registry.RestoreReplaced(service_->name, now)) {
+    placement = ChoosePlacement(now);
+  }
   if (placement.upstream != nullptr) return StartAttempt(placement);
   if (placement.candidates == 0) {
     PC_INFO(kRouter, "event=no_candidate id=" << fields_.request_id
@@ -201,6 +205,7 @@
       out.weights_version = attempt->weights_version;
     }
   }
+  attempt->expects_weights_version = out.weights_version.has_value();
   out.last_event_id = last_event_id_ ? last_event_id_ : fields_.last_event_id;
   return out;
 }
@@ -458,7 +463,11 @@
               << " leaving=" << response.is_leaving
               << " other_attempts=" << in_flight_.size() - 1);
   if (response.rest) ++state_->counters.rests_asked;
-  RemoveAttempt(*attempt, UpstreamVerdict::kRefused);
+  // An upstream with other weights answers like another process.
+  bool is_other_process =
+      response.is_misdirected && !attempt->expects_weights_version;
+  RemoveAttempt(*attempt, is_other_process ? UpstreamVerdict::kMisdirected
+                                           : UpstreamVerdict::kRefused);
   if (execution_state_ == ExecutionState::kNotSent)
     execution_state_ = ExecutionState::kRefused;
   ContinueOrFail("upstream refused");
--- a/Source/Core/Router/fleet_request.h
+++ b/Source/Core/Router/fleet_request.h
@@ -58,7 +58,14 @@
   // Whether any attempt may have executed the request.
   enum class ExecutionState { kNotSent, kRefused, kMayHaveExecuted };
   // What the end of an attempt shows about its upstream.
-  enum class UpstreamVerdict { kSound, kFailed, kSilent, kRefused, kUnknown };
+  enum class UpstreamVerdict {
+    kSound,
+    kFailed,
+    kSilent,
+    kRefused,
+    kMisdirected,  ///< Another process is at its address.
+    kUnknown
+  };
   enum class RetryUrgency {
     kIfHalfIdle,  // The upstream is silent; it may well continue.
     kUrgent,
--- a/Source/Core/Router/fleet_request_failure.cc
+++ b/Source/Core/Router/fleet_request_failure.cc
@@ -154,6 +154,8 @@
       return registry.OnEndedSilent(removed->upstream_id, now);
     case UpstreamVerdict::kRefused:
       return registry.OnRefused(removed->upstream_id, now);
+    case UpstreamVerdict::kMisdirected:
+      return registry.OnMisdirected(removed->upstream_id, now);
     case UpstreamVerdict::kUnknown:
       return registry.OnCancelled(removed->upstream_id);
   }
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -317,6 +317,9 @@
   }
   state_.routes = std::make_shared<const RouteTable>(config);
   state_.UpdatePriorities();
+  std::set<std::string> services;
+  for (const auto& [name, service] : config.services) services.insert(name);
+  state_.registry.SetServices(std::move(services), state_.Now());
   caller_server_->SetLimits(
       MakeCallerServerLimits(config.limits, state_.settings));
   remote_update_due_ = true;
@@ -442,7 +445,8 @@
     update.chunk_bytes = static_cast<uint32_t>(service.engine->chunk_bytes);
     update.origin = origin;
     for (const auto& [id, upstream] : state_.registry.all()) {
-      if (upstream.record.service != name) continue;
+      if (upstream.record.service != name || now < upstream.absent_until)
+        continue;
       update.members.push_back(
           {id, upstream.record.endpoint, upstream.record.zone,
            UpstreamRegistry::ServedVersion(upstream, model.name, now),
--- a/Source/UnitTests/Fleet/upstream_registry_test.cc
+++ b/Source/UnitTests/Fleet/upstream_registry_test.cc
@@ -2,7 +2,9 @@
 // agents and request outcomes.
 #include "Core/Fleet/upstream_registry.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <functional>
 
 namespace primrosecove {
 namespace {
@@ -219,6 +221,218 @@
   }
 }
 
+UpstreamStatus StatusOf(int64_t start_time_ms, uint64_t sequence) {
+  UpstreamStatus out;
+  out.upstream = {"10.0.0.1", 80};
+  out.sequence = sequence;
+  out.reachable = true;
+  out.start_time_ms = start_time_ms;
+  return out;
+}
+
+// Guards against another writer's registration that removes the upstream at its
+// address: no later change would return it.
+TEST_CASE("a registration that names no upstream to use replaces none") {
+  struct Row {
+    const char* name;
+    const char* service;
+    bool leaving;
+    int slots;
+    int64_t start_time_ms;  // That of the upstream is 1000.
+  };
+  const Row rows[] = {
+      {"unknown service, later start", "inventory", false, 4, 4000},
+      {"unknown service, start far in the future", "inventory", false, 4,
+       4'000'000'000'000},
+      {"unknown service, no start", "inventory", false, 1, 0},
+      {"no service", "", false, 4, 0},
+      {"leaving", "s", true, 4, 4000},
+      {"no slots", "s", false, 0, 4000},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    UpstreamRegistry registry;
+    registry.SetServices({"s", "t"}, MonotonicTime(0));
+    UpstreamChange change = Registered("a");
+    change.record->start_time_ms = 1000;
+    registry.Apply(change, MonotonicTime(-9000), MonotonicTime(0));
+    UpstreamChange foreign = Registered("b", row.leaving);
+    foreign.record->service = row.service;
+    foreign.record->slots = row.slots;
+    foreign.record->start_time_ms = row.start_time_ms;
+    registry.Apply(foreign, MonotonicTime(-9000), MonotonicTime(3000));
+    CHECK(registry.Usable("s", MonotonicTime(3000)).size() >= 1);
+    CHECK(registry.Find("a") != nullptr);
+    registry.RecordStatus(StatusOf(1000, 1), MonotonicTime(3100));
+    CHECK(registry.Usable("s", MonotonicTime(3100)).size() == 1);
+    CHECK(registry.PopCrashes().empty());
+  }
+}
+
+// The service may be named by a configuration that is read later.
+TEST_CASE("a registration counts from the naming of its service on") {
+  UpstreamRegistry registry;
+  registry.SetServices({"s"}, MonotonicTime(0));
+  registry.Apply(Registered("a"), MonotonicTime(-9000), MonotonicTime(0));
+  UpstreamChange later = Registered("b");
+  later.record->service = "t";
+  registry.Apply(later, MonotonicTime(-9000), MonotonicTime(3000));
+  REQUIRE(registry.Find("a") != nullptr);
+  registry.SetServices({"s", "t"}, MonotonicTime(4000));
+  CHECK(registry.Find("a") == nullptr);
+  registry.SetServices({"s"}, MonotonicTime(5000));
+  CHECK(registry.Find("a") != nullptr);
+}
+
+TEST_CASE("an upstream that answers is not replaced by a registration") {
+  struct Row {
+    const char* name;
+    int64_t status_at_ms;   // The registration is seen at 3000.
+    int64_t success_at_ms;  // 0: none.
+    bool is_replaced;
+  };
+  const Row rows[] = {
+      {"its agent reaches it", 2500, 0, false},
+      {"its agent reached it long ago", 1000, 0, true},
+      {"it has just answered", 0, 2800, false},
+      {"it answered long ago", 0, 2000, true},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    UpstreamRegistry registry;
+    UpstreamChange change = Registered("a");
+    change.record->start_time_ms = 1000;
+    registry.Apply(change, MonotonicTime(-9000), MonotonicTime(0));
+    registry.RecordStatus(StatusOf(1000, 1), MonotonicTime(row.status_at_ms));
+    if (row.success_at_ms != 0) {
+      registry.OnSent("a", MonotonicTime(row.success_at_ms));
+      registry.OnEnded("a", true, MonotonicTime(row.success_at_ms));
+    }
+    UpstreamChange later = Registered("b");
+    later.record->start_time_ms = 4000;
+    registry.Apply(later, MonotonicTime(-9000), MonotonicTime(3000));
+    CHECK((registry.Find("a") == nullptr) == row.is_replaced);
+    CHECK(registry.PopCrashes().empty() != row.is_replaced);
+  }
+}
+
+// What a registration removes must not be beyond return: the registration of
+// the removed upstream does not change, so the store does not return it again.
+TEST_CASE("a replaced upstream returns once its successor proves wrong") {
+  struct Row {
+    const char* name;
+    std::function<void(UpstreamRegistry*, MonotonicTime now)> prove;
+    bool returns;
+  };
+  const MonotonicTime reachable_since(-9000);
+  auto apply = [&](const UpstreamChange& change) {
+    return [=](UpstreamRegistry* registry, MonotonicTime now) {
+      registry->Apply(change, reachable_since, now);
+    };
+  };
+  UpstreamChange moved = Registered("b");
+  moved.record->endpoint.port = 81;
+  UpstreamChange unknown = Registered("b");
+  unknown.record->service = "inventory";
+  const Row rows[] = {
+      {"nothing", [](auto*, auto) {}, false},
+      {"it ends", apply({"b", std::nullopt, ""}), true},
+      {"it becomes unreadable", apply({"b", std::nullopt, "no service"}), true},
+      {"it moves", apply(moved), true},
+      {"it names an unknown service", apply(unknown), true},
+      {"another process answers for it",
+       [](auto* it, auto now) { it->OnMisdirected("b", now); }, true},
+      {"the agent reaches the replaced one",
+       [](auto* it, auto now) { it->RecordStatus(StatusOf(1000, 9), now); },
+       true},
+      {"the agent reaches the successor",
+       [](auto* it, auto now) { it->RecordStatus(StatusOf(4000, 9), now); },
+       false},
+      {"the replaced one ends first",
+       [&](auto* it, auto now) {
+         it->Apply({"a", std::nullopt, ""}, reachable_since, now);
+         it->Apply({"b", std::nullopt, ""}, reachable_since, now);
+       },
+       false},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    UpstreamRegistry registry;
+    registry.SetServices({"s"}, MonotonicTime(0));
+    UpstreamChange change = Registered("a");
+    change.record->start_time_ms = 1000;
+    registry.Apply(change, reachable_since, MonotonicTime(0));
+    registry.OnSent("a", MonotonicTime(100));
+    UpstreamChange later = Registered("b");
+    later.record->start_time_ms = 4000;
+    registry.Apply(later, reachable_since, MonotonicTime(3000));
+    REQUIRE(registry.Find("a") == nullptr);
+    row.prove(&registry, MonotonicTime(8000));
+    REQUIRE((registry.Find("a") != nullptr) == row.returns);
+    if (!row.returns) continue;
+    CHECK(registry.Find("a")->local_in_flight == 0);
+    auto usable = registry.Usable("s", MonotonicTime(8000));
+    auto is_restored = [](const auto* it) { return it->record.id == "a"; };
+    CHECK(std::ranges::any_of(usable, is_restored));
+    CHECK(usable.size() == (std::string(row.name) == "it moves" ? 2 : 1));
+  }
+}
+
+// No request may ever show who is at the address: those of the service go to
+// other upstreams, and the successor gets none.
+TEST_CASE("replaced upstreams are tried if nothing else is there") {
+  struct Row {
+    const char* name;
+    bool has_other;  // The service has another upstream.
+    int64_t at_ms;   // The registration of the successor is seen at 3000.
+    bool returns;
+  };
+  const Row rows[] = {
+      {"the only one, at once", false, 3000, true},
+      {"one of two, at once", true, 3000, false},
+      {"one of two, longer than a registration lasts", true, 13'100, true},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    UpstreamRegistry registry;
+    registry.Apply(Registered("a"), MonotonicTime(-9000), MonotonicTime(0));
+    if (row.has_other) {
+      UpstreamChange other = Registered("c");
+      other.record->endpoint.port = 81;
+      registry.Apply(other, MonotonicTime(-9000), MonotonicTime(0));
+    }
+    UpstreamChange successor = Registered("b");
+    successor.record->service = "t";
+    registry.Apply(successor, MonotonicTime(-9000), MonotonicTime(3000));
+    REQUIRE(registry.Find("a") == nullptr);
+    MonotonicTime now(row.at_ms);
+    registry.Expire(now);
+    if (registry.Accepting("s", now).empty()) {
+      CHECK_FALSE(registry.RestoreReplaced("t", now));
+      CHECK(registry.RestoreReplaced("s", now));
+    }
+    REQUIRE((registry.Find("a") != nullptr) == row.returns);
+    if (!row.returns) continue;
+    registry.OnMisdirected("a", now);
+    CHECK(registry.Accepting("s", now).size() == (row.has_other ? 1 : 0));
+  }
+}
+
+TEST_CASE("an upstream that is not at its address is tried again later") {
+  UpstreamRegistry registry;
+  registry.Apply(Registered("a"), MonotonicTime(-9000), MonotonicTime(0));
+  registry.OnSent("a", MonotonicTime(100));
+  registry.OnMisdirected("a", MonotonicTime(200));
+  CHECK(registry.Usable("s", MonotonicTime(300)).empty());
+  CHECK(registry.Find("a")->local_in_flight == 0);
+  CHECK(registry.Usable("s", MonotonicTime(10'300)).size() == 1);
+  registry.OnMisdirected("a", MonotonicTime(10'400));
+  UpstreamChange restarted = Registered("a");
+  restarted.record->start_time_ms = 5;
+  registry.Apply(restarted, MonotonicTime(-9000), MonotonicTime(10'500));
+  CHECK(registry.Usable("s", MonotonicTime(10'500)).size() == 1);
+}
+
 // Guards against sending a request that crashed an upstream to its successor,
 // because the registration of the crashed process is still valid.
 TEST_CASE("a later process at an upstream's address shows that it has ended") {
