Keep upstreams aside when their successor is replaced itself

An upstream whose successor was replaced at the same address in turn was used again at once, although two later processes had its address; requests to it were refused (421).

Change: the later successor takes the place of the earlier one. 'a successor that is replaced itself returns no earlier upstream' fails without it (two upstreams for one) and passes.

--- a/Source/Core/Fleet/upstream_registry.cc
+++ b/Source/Core/Fleet/upstream_registry.cc
@@ -259,6 +259,10 @@
     if (!it.second.IsLeaving())
       RecordCrash(it.second, CrashEvidence::kReplaced);
     RecordEnded(other, now);
+    // Those that this one has replaced have the same address.
+    for (auto& [id, earlier] : replaced_) {
+      if (earlier.successor == other.id) earlier.successor = record.id;
+    }
     replaced_[it.first] = {it.second, record.id, now, 0};
     return true;
   });
--- a/Source/UnitTests/Fleet/upstream_registry_test.cc
+++ b/Source/UnitTests/Fleet/upstream_registry_test.cc
@@ -378,6 +378,23 @@
   }
 }
 
+TEST_CASE("a successor that is replaced itself returns no earlier upstream") {
+  UpstreamRegistry registry;
+  const char* ids[] = {"a", "b", "c"};
+  MonotonicTime now(0);
+  for (const char* id : ids) {
+    UpstreamChange change = Registered(id);
+    change.record->start_time_ms = 1000 + now.count();
+    registry.Apply(change, MonotonicTime(-9000), now);
+    now += Milliseconds(1500);
+  }
+  registry.Expire(now);
+  CHECK(registry.all().size() == 1);
+  CHECK(registry.Find("c") != nullptr);
+  registry.Apply({"c", std::nullopt, ""}, MonotonicTime(-9000), now);
+  CHECK(registry.all().size() == 2);
+}
+
 // No request may ever show who is at the address: those of the service go to
 // other upstreams, and the successor gets none.
 TEST_CASE("replaced upstreams are tried if nothing else is there") {
