--- a/Source/Core/Fleet/deployment_watcher.cc
+++ b/Source/Core/Fleet/deployment_watcher.cc
@@ -18,8 +18,6 @@
 // maximum age, so that losing one does no harm.
 constexpr int kConfirmationsPerMaxAge = 5;
 constexpr Milliseconds kMaxWatchTimeout{1000};
-// Leaves time for one more watch, and for the read itself.
-constexpr double kMaxUnconfirmedShare = 0.7;
 constexpr Milliseconds kMinWatchTimeout{100};
 constexpr Milliseconds kInitialRetryDelay{50};
 constexpr Milliseconds kMaxRetryDelay{400};
@@ -58,12 +56,6 @@
   watch_timeout_ = std::clamp(max_config_age / kConfirmationsPerMaxAge,
                               kMinWatchTimeout, kMaxWatchTimeout);
   watch_interval_ = std::min(kWatchInterval, watch_timeout_);
-  position_interval_ = watch_timeout_;
-}
-
-void DeploymentWatcher::SetUnrestrictedAge(Milliseconds unrestricted_age) {
-  position_interval_ = std::chrono::duration_cast<Milliseconds>(
-      unrestricted_age * kMaxUnconfirmedShare);
 }
 
 DeploymentWatcher::EraOrder DeploymentWatcher::RecordEra(
@@ -198,8 +190,7 @@
 
 void DeploymentWatcher::Continue() {
   if (newest_) return Watch();
-  if (BootNow() - confirmed_at_ >= position_interval_)
-    return ReadNewestPosition();
+  if (BootNow() - confirmed_at_ >= watch_timeout_) return ReadNewestPosition();
   auto elapsed = std::chrono::duration_cast<Milliseconds>(EventLoop::Now() -
                                                           watch_started_);
   timer_ = loop_->After(std::max(watch_interval_ - elapsed, Milliseconds(0)),
--- a/Source/Core/Fleet/deployment_watcher.h
+++ b/Source/Core/Fleet/deployment_watcher.h
@@ -42,9 +42,6 @@
   void Start() { ReadPage(""); }
   /// Sets the maximum age from the next watch on.
   void SetMaxConfigAge(Milliseconds max_config_age);
-  /// Sets the age up to which a confirmation restricts nothing. Where watches
-  /// bring changes all the time, the store's position is read within it.
-  void SetUnrestrictedAge(Milliseconds unrestricted_age);
   bool reachable() const { return reachable_; }
   /// Returns the position up to which the deployment was read last.
   const StorePosition& position() const { return position_; }
@@ -80,8 +77,6 @@
   Events events_;
   Milliseconds watch_timeout_;
   Milliseconds watch_interval_;
-  /// From a confirmation to the next read of the store's position.
-  Milliseconds position_interval_;
   StorePosition position_;
   std::optional<uint64_t> era_;  // The latest one that a response has stated.
   std::optional<StorePosition> snapshot_position_;  // Of the first page.
--- a/Source/Core/Fleet/freshness.cc
+++ b/Source/Core/Fleet/freshness.cc
@@ -1,6 +1,5 @@
 #include "Core/Fleet/freshness.h"
 
-#include <algorithm>
 #include <ctime>
 
 namespace primrosecove {
@@ -51,10 +50,4 @@
   return age && *age < revoke_bound_ * kAcceptCallersShare;
 }
 
-Milliseconds ConfigFreshness::UnrestrictedAge() const {
-  return std::min(std::chrono::duration_cast<Milliseconds>(revoke_bound_ *
-                                                           kAcceptCallersShare),
-                  config_apply_bound_);
-}
-
 }  // namespace primrosecove
