Bound the watch that confirms a deployment after changes

Change: that watch waits no longer than the age that restricts no decision allows, and the position is read before the next watch would exceed it.

--- a/Source/Core/Fleet/deployment_watcher.cc
+++ b/Source/Core/Fleet/deployment_watcher.cc
@@ -18,6 +18,10 @@
 // maximum age, so that losing one does no harm.
 constexpr int kConfirmationsPerMaxAge = 5;
 constexpr Milliseconds kMaxWatchTimeout{1000};
+// Leaves time for the read itself.
+constexpr double kMaxUnconfirmedShare = 0.85;
+// Shortest wait of a watch that is to confirm the deployment soon.
+constexpr Milliseconds kMinConfirmingTimeout{20};
 constexpr Milliseconds kMinWatchTimeout{100};
 constexpr Milliseconds kInitialRetryDelay{50};
 constexpr Milliseconds kMaxRetryDelay{400};
@@ -56,6 +60,12 @@
   watch_timeout_ = std::clamp(max_config_age / kConfirmationsPerMaxAge,
                               kMinWatchTimeout, kMaxWatchTimeout);
   watch_interval_ = std::min(kWatchInterval, watch_timeout_);
+  confirmation_limit_ = watch_timeout_ + watch_interval_;
+}
+
+void DeploymentWatcher::SetUnrestrictedAge(Milliseconds unrestricted_age) {
+  confirmation_limit_ = std::chrono::duration_cast<Milliseconds>(
+      unrestricted_age * kMaxUnconfirmedShare);
 }
 
 DeploymentWatcher::EraOrder DeploymentWatcher::RecordEra(
@@ -152,7 +162,14 @@
 void DeploymentWatcher::Watch() {
   requested_at_ = BootNow();
   watch_started_ = EventLoop::Now();
-  source_->Watch(position_, watch_timeout_,
+  Milliseconds timeout = watch_timeout_;
+  // Without changes, the watch confirms the deployment only when it ends.
+  if (!was_empty_) {
+    auto left = std::chrono::duration_cast<Milliseconds>(
+        confirmation_limit_ - (requested_at_ - confirmed_at_));
+    timeout = std::clamp(left, kMinConfirmingTimeout, watch_timeout_);
+  }
+  source_->Watch(position_, timeout,
                  [this](SourceResult result) { OnChanges(std::move(result)); });
 }
 
@@ -176,6 +193,7 @@
   MarkReachable();
   for (const DeploymentChange& change : result.changes) Publish(change);
   position_ = std::max(position_, {era_, result.position.revision});
+  was_empty_ = result.is_empty;
   // A result with changes may end anywhere in a backlog.
   if (result.is_empty) {
     newest_.reset();
@@ -190,7 +208,9 @@
 
 void DeploymentWatcher::Continue() {
   if (newest_) return Watch();
-  if (BootNow() - confirmed_at_ >= watch_timeout_) return ReadNewestPosition();
+  // A later read would follow the next watch.
+  if (BootNow() - confirmed_at_ + watch_interval_ >= confirmation_limit_)
+    return ReadNewestPosition();
   auto elapsed = std::chrono::duration_cast<Milliseconds>(EventLoop::Now() -
                                                           watch_started_);
   timer_ = loop_->After(std::max(watch_interval_ - elapsed, Milliseconds(0)),
--- a/Source/Core/Fleet/deployment_watcher.h
+++ b/Source/Core/Fleet/deployment_watcher.h
@@ -42,6 +42,9 @@
   void Start() { ReadPage(""); }
   /// Sets the maximum age from the next watch on.
   void SetMaxConfigAge(Milliseconds max_config_age);
+  /// Sets the age up to which a confirmation restricts nothing. Where watches
+  /// bring changes all the time, the store's position is read within it.
+  void SetUnrestrictedAge(Milliseconds unrestricted_age);
   bool reachable() const { return reachable_; }
   /// Returns the position up to which the deployment was read last.
   const StorePosition& position() const { return position_; }
@@ -77,6 +80,9 @@
   Events events_;
   Milliseconds watch_timeout_;
   Milliseconds watch_interval_;
+  /// Age that a confirmation should not exceed while watches bring changes.
+  Milliseconds confirmation_limit_;
+  bool was_empty_ = true;  // The last response to a watch.
   StorePosition position_;
   std::optional<uint64_t> era_;  // The latest one that a response has stated.
   std::optional<StorePosition> snapshot_position_;  // Of the first page.
--- a/Source/Core/Fleet/freshness.cc
+++ b/Source/Core/Fleet/freshness.cc
@@ -1,5 +1,6 @@
 #include "Core/Fleet/freshness.h"
 
+#include <algorithm>
 #include <ctime>
 
 namespace primrosecove {
@@ -50,4 +51,10 @@
   return age && *age < revoke_bound_ * kAcceptCallersShare;
 }
 
+Milliseconds ConfigFreshness::UnrestrictedAge() const {
+  return std::min(std::chrono::duration_cast<Milliseconds>(revoke_bound_ *
+                                                           kAcceptCallersShare),
+                  config_apply_bound_);
+}
+
 }  // namespace primrosecove
--- a/Source/Core/Fleet/freshness.h
+++ b/Source/Core/Fleet/freshness.h
@@ -40,6 +40,8 @@
   /// Whether a request may be refused because the configuration has no such
   /// route or key; a stale configuration may lack a new one.
   bool MayDenyUnknown(BootTime now) const;
+  /// Returns the age from which on some decision is restricted.
+  Milliseconds UnrestrictedAge() const;
   /// Whether this host should be offered new callers.
   bool MayAcceptCallers(BootTime now) const;
 
--- a/Source/Core/Router/fleet_router.cc
+++ b/Source/Core/Router/fleet_router.cc
@@ -202,6 +202,7 @@
   events.on_reachable = [this](bool it) { OnStoreReachable(it); };
   watcher_ = std::make_unique<DeploymentWatcher>(
       loop_, source_.get(), settings.bounds.revoke, std::move(events));
+  watcher_->SetUnrestrictedAge(state_.freshness.UnrestrictedAge());
   watcher_->Start();
   deployment_digest_timer_ =
       loop_->Every(kDigestPeriod, [this] { SendDeploymentDigests(true); });
@@ -580,6 +581,7 @@
   for (auto& [service, retry_budget] : state_.retry_budgets)
     retry_budget.SetBounds(bounds, state_.Now());
   watcher_->SetMaxConfigAge(bounds.revoke);
+  watcher_->SetUnrestrictedAge(state_.freshness.UnrestrictedAge());
 }
 
 void FleetRouter::BeginStop() {
--- a/Source/UnitTests/Fleet/decisions_test.cc
+++ b/Source/UnitTests/Fleet/decisions_test.cc
@@ -50,6 +50,9 @@
     BootTime now = BootAt(100'000);
     if (row.age_ms) freshness.Confirm(now - Milliseconds(*row.age_ms));
     CHECK(freshness.MayUseKeys(now) == row.may_use_keys);
+    bool is_unrestricted =
+        row.age_ms && Milliseconds(*row.age_ms) < freshness.UnrestrictedAge();
+    CHECK(is_unrestricted == (row.may_deny && row.may_accept_callers));
     CHECK(freshness.MayDenyUnknown(now) == row.may_deny);
     CHECK(freshness.MayAcceptCallers(now) == row.may_accept_callers);
   }
