Show that a router that stood still keeps older weights in use

Cause: the bound on older weights counts from when the router learned of the newer ones, not from its last confirmation by the store.

Nothing of the product is changed. The stand-ins gain an engine and an origin.

--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import base64
+import hashlib
 import json
 import os
 import pathlib
@@ -440,3 +441,182 @@
             for it in programs:
                 it.stop()
             record.close()
+
+
+class Engine:
+    """A model server: runs streams, reports its state, takes staged pieces and load orders."""
+
+    CHUNKS, CHUNK_BYTES, LAYERS = 24, 4096, 16
+
+    def __init__(self, ip, store, record, service, model, origin, slots=4):
+        self.ip, self.store, self.record = ip, store, record
+        self.service, self.model, self.origin, self.slots = service, model, origin, slots
+        self.id = f"i-{random.getrandbits(32):08x}"
+        self.port = free_port(ip)
+        self.born = int(time.time() * 1000)
+        self.beats = self.orders = self.running = 0
+        self.version = 1
+        self.loading = False
+        self.staged = {n: origin.piece(1, n) for n in range(self.CHUNKS)}
+        self.runs = []  # Request id, arrival, begin and version of each.
+        self.tasks = []
+
+    async def start(self):
+        await asyncio.start_server(self.serve, self.ip, self.port, limit=1 << 18)
+        self.tasks.append(asyncio.create_task(self.heartbeat()))
+
+    def state(self):
+        return {"phase": "unified", "born": self.born,
+                "models": [{"name": self.model, "version": self.version, "adapters": []}],
+                "layers": [{"from": 0, "to": self.LAYERS, "version": self.version}]}
+
+    async def heartbeat(self):
+        while True:
+            self.beats += 1
+            self.store.put(f"servers/{self.id}", {
+                **self.state(), "service": self.service, "address": f"{self.ip}:{self.port}",
+                "zone": "z1", "version": 1, "slots": self.slots, "state": "ready",
+                "cold_remaining_ms": 0, "sequence": self.beats})
+            await asyncio.sleep(1.2)
+
+    def report(self):
+        return {**self.state(), "busy": self.loading, "sequence": self.orders, "waiting": 0,
+                "running": self.running, "kv_in_use": 0, "kv_size": 1000, "handlers": 0, "pace": 1}
+
+    async def load(self, version):
+        while self.running > 0:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.3)
+        self.version, self.loading = version, False
+        self.record.line(f"engine {self.id} has loaded version {version}")
+
+    def take_order(self, order):
+        if self.loading:
+            return 409
+        if order["version"] == self.version:
+            return 200
+        self.orders += 1
+        self.loading = True
+        self.record.line(f"engine {self.id} accepts the order to load {order['version']}")
+        self.tasks.append(asyncio.create_task(self.load(order["version"])))
+        return 202
+
+    def answer(self, method, target, body):
+        url = urllib.parse.urlsplit(target)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        if url.path == "/report":
+            return 200, json.dumps(self.report()).encode()
+        if url.path == "/order":
+            return self.take_order(json.loads(body)), b""
+        if url.path.startswith("/stage-put/"):
+            self.staged[int(query["num"])] = body
+            return 200, b""
+        if url.path.startswith("/stage-get/") and "num" in query:
+            out = self.staged.get(int(query["num"]))
+            return (404, b"") if out is None else (200, out)
+        return 404, b""
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                start, headers = await read_head(reader)
+                size = int(headers.get("content-length", "0"))
+                body = await reader.readexactly(size) if size else b""
+                method, target, _ = start.split(" ")
+                if "request-id" in headers:
+                    await self.run(headers, writer)
+                else:
+                    status, out = self.answer(method, target, body)
+                    writer.write(message(f"HTTP/1.1 {status} X", [
+                        ("Content-Type", "application/json"), ("Content-Length", len(out))], out))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
+            pass
+        finally:
+            writer.close()
+
+    async def run(self, headers, writer):
+        arrived = self.record.now()
+        wanted = headers.get("expect-version", str(self.version))
+        if headers.get("expect-instance", self.id) != self.id or wanted != str(self.version):
+            return writer.write(message("HTTP/1.1 421 Misdirected Request", [
+                ("Instance-Id", self.id), ("Content-Length", 0)]))
+        if self.loading or self.running >= self.slots:
+            return writer.write(message("HTTP/1.1 503 Service Unavailable", [
+                ("Not-Executed", 1), ("Content-Length", 0)]))
+        request_id = headers["request-id"]
+        self.running += 1
+        try:
+            await asyncio.sleep(0.02)
+            self.runs.append((request_id, arrived, self.record.now(), self.version))
+            self.record.line(f"run id={request_id} engine={self.id} weights={self.version}")
+            writer.write(message("HTTP/1.1 200 OK", [
+                ("Request-Id", request_id), ("Server-Signature", f"sig.{request_id}"),
+                ("Weight-Versions", self.version), ("Transfer-Encoding", "chunked"),
+                ("Content-Type", "text/event-stream"), ("Keep-Alive", "timeout=5")]))
+            for n in range(1, random.randint(15, 28)):
+                event = f"id: {n}\ndata: token\n\n".encode()
+                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                await writer.drain()
+                await asyncio.sleep(0.05)
+            writer.write(b"0\r\n\r\n")
+        finally:
+            self.running -= 1
+
+
+class Origin:
+    """The origin of the weights."""
+
+    def __init__(self, ip, model):
+        self.ip, self.model = ip, model
+        self.port = free_port(ip)
+
+    @staticmethod
+    def piece(version, n):
+        return hashlib.sha256(f"{version}/{n}".encode()).digest() * (Engine.CHUNK_BYTES // 32)
+
+    async def start(self):
+        await asyncio.start_server(self.serve, self.ip, self.port)
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                start, _ = await read_head(reader)
+                url = urllib.parse.urlsplit(start.split(" ")[1])
+                query = dict(urllib.parse.parse_qsl(url.query))
+                version = int(query.get("version", "1"))
+                if url.path.startswith("/manifest/"):
+                    hashes = [hashlib.sha256(self.piece(version, n)).hexdigest()
+                              for n in range(Engine.CHUNKS)]
+                    out = json.dumps({"model": self.model, "version": version,
+                                      "chunk_bytes": Engine.CHUNK_BYTES,
+                                      "layers": Engine.LAYERS, "hashes": hashes}).encode()
+                else:
+                    out = self.piece(version, int(query["num"]))
+                writer.write(message("HTTP/1.1 200 OK", [("Content-Length", len(out))], out))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
+            pass
+        finally:
+            writer.close()
+
+
+def engine_service(name, model, slots=4):
+    """Returns a service of engines as the configuration lists it."""
+    runtime = {"slots": slots, "kv_capacity": 317000, "stride": 5, "step_ms": 9.27,
+               "per_seq_ms": 0.0232, "context_per_k": 0.0322, "read_per_s": 20700.0,
+               "pairs_per_m": 1.18, "chunk": 2048, "report_lag_ms": 200.0,
+               "models": [{"name": model, "pace": 1.0, "load_s": 0.3, "warm_s": 0.3}],
+               "usual": {"prompt": 40, "answer": 30}, "layers": Engine.LAYERS,
+               "chunks": Engine.CHUNKS, "chunk_bytes": Engine.CHUNK_BYTES}
+    return {"name": name, "health_path": "/healthz", "max_conns": 264, "runtime": runtime}
+
+
+def agent_settings(router, engine):
+    """Returns the settings of an agent beside `engine`, with the ports of the router."""
+    out = dict(router, node_name=f"side-{engine.ip.split('.')[-1]}", role="agent",
+               machine_class="side", serves=["side"], ip=engine.ip, listen={},
+               app=f"{engine.ip}:{engine.port}", service=engine.service)
+    out["limits"] = dict(router["limits"], cpu_share=0.3, memory_mb=128, max_fds=2048,
+                         link_mbps=7.3)
+    return out
