--- a/review/13/case.py
+++ b/review/13/case.py
@@ -5,7 +5,8 @@
 import signal
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+FOLDER = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent))
 from stand_ins_3_rollout import Deployment, main, now  # pylint: disable=wrong-import-position
 
 VERSION_S = 8.0  # bounds.version_ms
@@ -53,4 +54,4 @@
         await it.stop()
 
 
-main(run)
+main(run, FOLDER / "record.txt")
--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -43,10 +43,10 @@
 
 
 class Record:
-    """The case's record.txt: one line an event, with the time since the start."""
+    """The record of a run: one line an event, with the time since the start."""
 
-    def __init__(self, folder):
-        self.file = open(pathlib.Path(folder) / "record.txt", "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.started = time.monotonic()
 
     def now(self):
@@ -425,9 +425,9 @@
         return int(start.split(" ")[1]), headers.get("connection", "").lower() == "close"
 
 
-def run_case(folder, case):
+def run_case(record_path, case):
     """Runs `case(record, temporary folder, programs)` and returns the exit code of the script."""
-    record = Record(folder)
+    record = Record(record_path)
     programs = []
     with tempfile.TemporaryDirectory() as temporary:
         try:
--- a/review/stand_ins_3_rollout.py
+++ b/review/stand_ins_3_rollout.py
@@ -646,12 +646,11 @@
         await self.store.stop()
 
 
-def main(run):
+def main(run, record_path):
     """Runs `run(record, folder, trouble)` in a temporary folder; it returns the exit code."""
     import sys
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    folder = pathlib.Path(sys.argv[1]).resolve()
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     if not PROGRAM.exists():
         record.write("not_run", why="target/primrosecove is missing")
         sys.exit(2)
