--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -396,6 +396,7 @@
             if self.writer is None:
                 await self.connect()
             kept = self.answered > 0
+            self.record.line(f"sent id={request_id} {method} {path} body_bytes={len(body)}")
             head = [("Host", self.host), ("Request-Id", request_id),
                     ("Deadline-Ms", deadline_ms), *headers]
             if body or method == "POST":
@@ -411,6 +412,7 @@
             self.close()
             self.record.line(f"no answer id={request_id} kept={kept}")
             return request_id, None, kept
+        self.record.line(f"answered id={request_id} status={status}")
         self.answered += 1
         if close:
             self.close()
